Serve the whole path, thin, in separate processes

Cause: the users ask for the whole path first. Platform and upstream stand-ins, three relay processes and relayctl run as separate processes; a caller's request goes in at any entry process, over QUIC to the dispatcher of the key's owner, and its whole answer comes back.

Ruled out: a leader lease in the platform. Plans are written by conditional writes alone, and authority comes from confirmations, so the platform is in the path of no request.

Before: nothing.

--- /dev/null
+++ b/deduper/book.go
@@ -0,0 +1,203 @@
+// Package deduper remembers non-idempotent requests, so that each runs at most
+// once however often its caller sends it.
+//
+// The dispatcher of a request's slice keeps a [Book]. A duplicate waits for
+// the one that runs, or gets the same answer. Every process also keeps a Book
+// as a witness of requests that another process runs, so that no loss of one
+// failure domain loses a record; a new dispatcher gathers them before it
+// admits requests.
+//
+// # Usage
+//
+//	book := &deduper.Book{}
+//	entry, state := book.Begin(now, record)
+//	if state == deduper.Fresh { ... run ...; book.Finish(record) }
+//
+// A record that says Running without being run by this process means that the
+// request may have run: its duplicates end as Unknown.
+package deduper
+
+import (
+	"sync"
+	"time"
+
+	"pimentorelay.example/pimento"
+)
+
+const (
+	// KeepFor is how long a record is kept.
+	KeepFor = 10 * time.Minute
+	// MaxBody is the largest body of an answer in bytes that is kept.
+	MaxBody = 64 << 10
+	// maxRecords bounds the records of a book.
+	maxRecords = 1 << 18
+	// maxBytes bounds the kept answers of a book.
+	maxBytes = 64 << 20
+	// sweepEvery is the number of new records between two sweeps.
+	sweepEvery = 1 << 10
+)
+
+// State says what a book knows of a request.
+type State string
+
+// The states.
+const (
+	Fresh    State = "Fresh"    // never seen: the caller of Begin has to run it
+	Joined   State = "Joined"   // runs here now: wait for Entry.Done
+	Finished State = "Finished" // the entry's record is final
+	Full     State = "Full"     // no room for another record
+)
+
+// Entry is a record in a book. Record may be read once Done is closed.
+type Entry struct {
+	Record pimento.Record
+	Done   chan struct{}
+}
+
+// Book is a set of records. The zero value is ready for use.
+type Book struct {
+	mu      sync.Mutex
+	entries map[string]*Entry
+	bytes   int
+	added   int
+}
+
+// Begin looks a request up, and enters it if it is new.
+func (b *Book) Begin(now time.Time, r pimento.Record) (*Entry, State) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e, ok := b.entries[r.ID]; ok && now.Before(e.Record.Expires) && !retracted(e, r) {
+		if isDone(e) {
+			return e, Finished
+		}
+		return e, Joined
+	}
+	b.sweep(now)
+	if len(b.entries) >= maxRecords || b.bytes >= maxBytes {
+		return nil, Full
+	}
+	r.State, r.Expires = pimento.RecordRunning, now.Add(KeepFor)
+	e := &Entry{Record: r, Done: make(chan struct{})}
+	b.put(e)
+	return e, Fresh
+}
+
+// retracted reports whether the witness from which an entry came sends the
+// request again. It does so only after a copy that was not run.
+func retracted(e *Entry, r pimento.Record) bool {
+	return isDone(e) && e.Record.State == pimento.RecordRunning && r.Witness != "" && e.Record.Witness == r.Witness
+}
+
+// put stores an entry. The caller holds mu.
+func (b *Book) put(e *Entry) {
+	if b.entries == nil {
+		b.entries = make(map[string]*Entry)
+	}
+	if old, ok := b.entries[e.Record.ID]; ok {
+		b.bytes -= len(old.Record.Body)
+	}
+	b.entries[e.Record.ID] = e
+	b.bytes += len(e.Record.Body)
+	b.added++
+}
+
+// sweep drops expired records now and then. The caller holds mu.
+func (b *Book) sweep(now time.Time) {
+	full := len(b.entries) >= maxRecords || b.bytes >= maxBytes
+	if b.added%sweepEvery != 0 && !full {
+		return
+	}
+	for id, e := range b.entries {
+		if !now.Before(e.Record.Expires) {
+			b.bytes -= len(e.Record.Body)
+			delete(b.entries, id)
+		}
+	}
+}
+
+// Finish makes the record of a request that ran here final.
+func (b *Book) Finish(e *Entry, state pimento.RecordState, answer pimento.AnswerHead, body []byte) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e.Record.State, e.Record.Answer, e.Record.Body = state, answer, body
+	b.bytes += len(body)
+	close(e.Done)
+}
+
+// Drop forgets a request that certainly did not run, so that it may run later.
+func (b *Book) Drop(e *Entry) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.entries[e.Record.ID] == e {
+		delete(b.entries, e.Record.ID)
+	}
+	e.Record.State = ""
+	close(e.Done)
+}
+
+// Merge takes in records of another process. A final record goes before a
+// running one; what runs here stays.
+func (b *Book) Merge(now time.Time, records []pimento.Record) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, r := range records {
+		if old, ok := b.entries[r.ID]; ok && now.Before(old.Record.Expires) {
+			if !isDone(old) || old.Record.State == pimento.RecordAnswered {
+				continue
+			}
+		}
+		r.Expires = now.Add(KeepFor)
+		e := &Entry{Record: r, Done: make(chan struct{})}
+		close(e.Done)
+		b.put(e)
+	}
+}
+
+func isDone(e *Entry) bool {
+	select {
+	case <-e.Done:
+		return true
+	default:
+		return false
+	}
+}
+
+// Remove forgets a record, for a witness whose request did not run.
+func (b *Book) Remove(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e, ok := b.entries[id]; ok && isDone(e) {
+		b.bytes -= len(e.Record.Body)
+		delete(b.entries, id)
+	}
+}
+
+// Select returns the records for which match holds. Those that run here are
+// returned as Running.
+func (b *Book) Select(now time.Time, match func(*pimento.Record) bool) []pimento.Record {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []pimento.Record
+	for _, e := range b.entries {
+		if now.Before(e.Record.Expires) && match(&e.Record) {
+			out = append(out, e.Record)
+		}
+	}
+	return out
+}
+
+// SetWitness notes which process keeps a copy of a record.
+func (b *Book) SetWitness(id string, witness pimento.ProcessID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e, ok := b.entries[id]; ok {
+		e.Record.Witness = witness
+	}
+}
+
+// Len returns the number of records.
+func (b *Book) Len() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.entries)
+}
--- /dev/null
+++ b/fault.go
@@ -0,0 +1,118 @@
+package pimento
+
+import (
+	"fmt"
+	"strings"
+)
+
+// FieldFault is one value that a check refused. Row and Column are zero where
+// the value did not come from a sheet; rows and columns count from one.
+type FieldFault struct {
+	Field   string
+	Row     int
+	Column  int
+	Value   string
+	Allowed string
+}
+
+// Error names the place, the value and what would be allowed.
+func (f FieldFault) Error() string {
+	place := f.Field
+	if f.Row > 0 {
+		place = fmt.Sprintf("row %d, column %d (%s)", f.Row, f.Column, f.Field)
+	}
+	return fmt.Sprintf("%s: %q is not allowed: want %s", place, f.Value, f.Allowed)
+}
+
+// ValidationError gathers every fault that a check found.
+type ValidationError struct {
+	Subject string
+	Faults  []FieldFault
+}
+
+// Add records one fault.
+func (e *ValidationError) Add(field, value, allowed string) {
+	e.Faults = append(e.Faults, FieldFault{Field: field, Value: value, Allowed: allowed})
+}
+
+// AddAt records one fault of a sheet's cell.
+func (e *ValidationError) AddAt(row, column int, field, value, allowed string) {
+	e.Faults = append(e.Faults, FieldFault{Field: field, Row: row, Column: column, Value: value, Allowed: allowed})
+}
+
+// Error lists all faults, one a line.
+func (e *ValidationError) Error() string {
+	lines := make([]string, 0, len(e.Faults)+1)
+	lines = append(lines, fmt.Sprintf("%s has %d faults:", e.Subject, len(e.Faults)))
+	for _, f := range e.Faults {
+		lines = append(lines, "  "+f.Error())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns e if it has faults and nil otherwise.
+func (e *ValidationError) Err() error {
+	if len(e.Faults) == 0 {
+		return nil
+	}
+	return e
+}
+
+// ConflictError says that a conditional write was refused because the object
+// has moved on. Current is the version that stands now, zero if none does.
+type ConflictError struct {
+	Object  string
+	Based   uint64
+	Current uint64
+}
+
+// Error names both versions.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("object %q is at version %d, the write was based on version %d", e.Object, e.Current, e.Based)
+}
+
+// NotFoundError says that an object does not exist.
+type NotFoundError struct{ Object string }
+
+// Error names the object.
+func (e *NotFoundError) Error() string { return fmt.Sprintf("object %q does not exist", e.Object) }
+
+// UnreachableError says that an answer never arrived. Whether the call took
+// effect is not known.
+type UnreachableError struct {
+	Target string
+	Cause  error
+}
+
+// Error names the target and the cause.
+func (e *UnreachableError) Error() string {
+	return fmt.Sprintf("%s gave no answer: %v", e.Target, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnreachableError) Unwrap() error { return e.Cause }
+
+// OutcomeError carries the outcome of a request that got no answer.
+type OutcomeError struct {
+	Outcome Outcome
+	Reason  Reason
+	Detail  string
+}
+
+// Error names outcome and reason.
+func (e *OutcomeError) Error() string {
+	if e.Detail == "" {
+		return fmt.Sprintf("%s: %s", e.Outcome, e.Reason)
+	}
+	return fmt.Sprintf("%s: %s: %s", e.Outcome, e.Reason, e.Detail)
+}
+
+// NotRun returns an OutcomeError for a request that certainly was not run.
+func NotRun(reason Reason, detail string) *OutcomeError {
+	return &OutcomeError{Outcome: OutcomeNotRun, Reason: reason, Detail: detail}
+}
+
+// Unknown returns an OutcomeError for a request that may have been run.
+func Unknown(reason Reason, detail string) *OutcomeError {
+	return &OutcomeError{Outcome: OutcomeUnknown, Reason: reason, Detail: detail}
+}
--- /dev/null
+++ b/relayctl/check.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+)
+
+const checkHelp = `Reads a sheet and names every fault with its row, column and value.
+Nothing is changed, and no process or platform is needed.
+
+Examples:
+
+  relayctl check monday.csv
+  relayctl check - < monday.csv`
+
+// checked is the result of a check without faults.
+type checked struct {
+	Categories int
+	Services   int
+	Domains    int
+	Hosts      int
+	Upstreams  int
+}
+
+func newCheckCommand(c *client) *cobra.Command {
+	return &cobra.Command{
+		Use:   "check SHEET",
+		Short: "Check a sheet",
+		Long:  checkHelp,
+		Args:  cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			config, err := readSheet(args[0])
+			if err != nil {
+				return err
+			}
+			r := checked{len(config.Categories), len(config.Services), len(config.Domains), len(config.Hosts), len(config.Servers)}
+			return c.print(r, func(w io.Writer) {
+				fmt.Fprintf(w, "sheet is sound: %d categories, %d services, %d failure domains, %d hosts, %d upstreams\n",
+					r.Categories, r.Services, r.Domains, r.Hosts, r.Upstreams)
+			})
+		},
+	}
+}
--- /dev/null
+++ b/relayctl/diff.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"pimentorelay.example/pimento/parser"
+)
+
+const diffHelp = `Shows what a sheet would change in the accepted configuration, and the
+version on which that is based. Give this version to "apply --based" to be sure
+that nobody changes the configuration in between.
+
+Examples:
+
+  relayctl diff monday.csv
+  relayctl diff monday.csv --output json`
+
+// difference is what a sheet would change.
+type difference struct {
+	Based   uint64
+	Changes []parser.Change
+}
+
+func newDiffCommand(c *client) *cobra.Command {
+	return &cobra.Command{
+		Use:   "diff SHEET",
+		Short: "Show what a sheet would change",
+		Long:  diffHelp,
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			config, err := readSheet(args[0])
+			if err != nil {
+				return err
+			}
+			old, version, err := c.current(cmd.Context())
+			if err != nil {
+				return err
+			}
+			d := difference{Based: version, Changes: parser.Diff(old, config)}
+			return c.print(d, func(w io.Writer) {
+				for _, change := range d.Changes {
+					fmt.Fprintln(w, change)
+				}
+				fmt.Fprintf(w, "%d changes to version %d\n", len(d.Changes), d.Based)
+			})
+		},
+	}
+}
--- /dev/null
+++ b/requester/client.go
@@ -0,0 +1,196 @@
+// Package requester is the client of one upstream over HTTP/1.1.
+//
+// # Usage
+//
+//	client := &requester.Client{Name: "partsdesk-3", Address: addr}
+//	answer, err := client.Serve(ctx, head, fence, body)
+//
+// An error of Serve is an *pimento.OutcomeError: NotRun where the request
+// certainly did not run (no connection, a refusal that says so), Unknown
+// where it may have. An answer that carries another request's ID is Unknown
+// with ReasonWrongAnswer and never reaches the caller.
+package requester
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/dghubble/sling"
+
+	"pimentorelay.example/pimento"
+)
+
+const (
+	// controlTimeout bounds grants, probes and reports.
+	controlTimeout = 150 * time.Millisecond
+	// connectTimeout bounds a new connection.
+	connectTimeout = 500 * time.Millisecond
+	// idleTimeout is how long an unused connection is kept.
+	idleTimeout = time.Minute
+	// maxControlSize is the largest control answer in bytes.
+	maxControlSize = 1 << 20
+)
+
+// Client implements pimento.Upstream.
+type Client struct {
+	Name    pimento.UpstreamName
+	Address netip.AddrPort
+	HTTP    *http.Client // nil: NewHTTP with the default of connections
+}
+
+var _ pimento.Upstream = (*Client)(nil)
+
+// NewHTTP returns an HTTP client that holds at most the given number of
+// connections to each upstream.
+func NewHTTP(connections int) *http.Client {
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxConnsPerHost:     connections,
+			MaxIdleConnsPerHost: connections,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+			WriteBufferSize:     32 << 10,
+			ReadBufferSize:      32 << 10,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.HTTP.CloseIdleConnections() }
+
+// Grant implements pimento.Upstream.
+func (c *Client) Grant(ctx context.Context, grant pimento.Grant) (pimento.GrantAnswer, error) {
+	var out pimento.GrantAnswer
+	if err := c.control(ctx, http.MethodPost, "/grant", grant, &out); err != nil {
+		return out, fmt.Errorf("Client.Grant: %w", err)
+	}
+	return out, nil
+}
+
+// Drain implements pimento.Upstream.
+func (c *Client) Drain(ctx context.Context, ranges []pimento.Range) (int, error) {
+	var out struct{ InFlight int }
+	if err := c.control(ctx, http.MethodPost, "/drain", ranges, &out); err != nil {
+		return 0, fmt.Errorf("Client.Drain: %w", err)
+	}
+	return out.InFlight, nil
+}
+
+// Health implements pimento.Upstream.
+func (c *Client) Health(ctx context.Context) (pimento.GrantAnswer, error) {
+	var out pimento.GrantAnswer
+	if err := c.control(ctx, http.MethodGet, "/health", nil, &out); err != nil {
+		return out, fmt.Errorf("Client.Health: %w", err)
+	}
+	return out, nil
+}
+
+// Load implements pimento.Upstream.
+func (c *Client) Load(ctx context.Context) (pimento.LoadReport, error) {
+	var out pimento.LoadReport
+	if err := c.control(ctx, http.MethodGet, "/load", nil, &out); err != nil {
+		return out, fmt.Errorf("Client.Load: %w", err)
+	}
+	return out, nil
+}
+
+func (c *Client) base() string { return "http://" + c.Address.String() }
+
+func (c *Client) control(ctx context.Context, method, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	s := sling.New().Base(c.base()).Get(path)
+	if method == http.MethodPost {
+		s = sling.New().Base(c.base()).Post(path).BodyJSON(in)
+	}
+	req, err := s.Request()
+	if err != nil {
+		return err
+	}
+	res, err := c.HTTP.Do(req.WithContext(ctx))
+	if err != nil {
+		return &pimento.UnreachableError{Target: string(c.Name), Cause: err}
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return &pimento.UnreachableError{Target: string(c.Name), Cause: errors.New(res.Status)}
+	}
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxControlSize)).Decode(out); err != nil {
+		return &pimento.UnreachableError{Target: string(c.Name), Cause: err}
+	}
+	return nil
+}
+
+// Serve implements pimento.Upstream.
+func (c *Client) Serve(ctx context.Context, head pimento.RequestHead, fence uint64, body io.Reader) (pimento.Answer, error) {
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	})
+	req, err := c.request(ctx, head, fence, body)
+	if err != nil {
+		return pimento.Answer{}, pimento.NotRun(pimento.ReasonBadRequest, err.Error())
+	}
+	res, err := c.HTTP.Do(req)
+	if err != nil && !sent.Load() {
+		return pimento.Answer{}, pimento.NotRun(pimento.ReasonUpstreamLost, err.Error())
+	}
+	if err != nil {
+		return pimento.Answer{}, pimento.Unknown(pimento.ReasonUpstreamLost, err.Error())
+	}
+	if err := verify(head, res); err != nil {
+		res.Body.Close()
+		return pimento.Answer{}, err
+	}
+	return pimento.Answer{Head: answerHead(head, res), Body: res.Body}, nil
+}
+
+func (c *Client) request(ctx context.Context, head pimento.RequestHead, fence uint64, body io.Reader) (*http.Request, error) {
+	if head.BodyLength == 0 {
+		body = nil
+	}
+	req, err := http.NewRequestWithContext(ctx, head.Method, c.base()+"/serve"+head.Path, body)
+	if err != nil {
+		return nil, err
+	}
+	req.Header = head.Header.Clone()
+	if req.Header == nil {
+		req.Header = make(http.Header)
+	}
+	req.ContentLength = head.BodyLength
+	req.Header.Set(pimento.HeaderRequestID, head.ID)
+	req.Header.Set(pimento.HeaderKeyHash, strconv.FormatUint(head.KeyHash, 16))
+	req.Header.Set(pimento.HeaderFence, strconv.FormatUint(fence, 10))
+	req.Header.Set(pimento.HeaderTimeout, time.Until(head.Deadline).String())
+	return req, nil
+}
+
+// verify refuses an answer that says "not run" or belongs to another request.
+func verify(head pimento.RequestHead, res *http.Response) error {
+	if res.Header.Get(pimento.HeaderOutcome) == string(pimento.OutcomeNotRun) {
+		return pimento.NotRun(pimento.ReasonRefused, res.Status)
+	}
+	if got := res.Header.Get(pimento.HeaderRequestID); got != head.ID {
+		return pimento.Unknown(pimento.ReasonWrongAnswer, fmt.Sprintf("the answer carries ID %q", got))
+	}
+	return nil
+}
+
+func answerHead(head pimento.RequestHead, res *http.Response) pimento.AnswerHead {
+	header := res.Header.Clone()
+	pimento.StripHeader(header)
+	return pimento.AnswerHead{ID: head.ID, Status: res.StatusCode, Header: header, BodyLength: res.ContentLength}
+}
--- /dev/null
+++ b/runner/core.go
@@ -0,0 +1,290 @@
+package runner
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/claimer"
+	"pimentorelay.example/pimento/confirmer"
+)
+
+const (
+	// coreTick is the time between two steps of the decision machines.
+	coreTick = 10 * time.Millisecond
+	// inboxSize bounds the messages that wait for the core.
+	inboxSize = 1024
+	// reportAge is how long a report about an upstream is believed.
+	reportAge = 3 * time.Second
+	// helloAge is how long an unlisted process counts as alive after a sign.
+	helloAge = time.Second
+)
+
+// view is what the path of a request reads of the decisions.
+type view struct {
+	plan      *pimento.Plan
+	withdrawn pimento.Withdrawn
+	until     time.Time
+}
+
+// sighting is a report with the time it came.
+type sighting struct {
+	report pimento.UpstreamReport
+	at     time.Time
+}
+
+// core owns the decision machines. Only its own goroutine touches them.
+type core struct {
+	node     *Node
+	inbox    chan func(*core)
+	confirm  *confirmer.Machine
+	claim    *claimer.Machine
+	plans    *pimento.Plan
+	hellos   map[pimento.ProcessID]time.Time
+	leavings map[pimento.ProcessID]bool
+	loads    map[pimento.SliceID]sliceRate
+	listed   bool
+	hadRight bool
+	excluded chan struct{}
+	gone     []departure
+
+	current atomic.Pointer[view]
+	reports atomic.Pointer[map[pimento.UpstreamName]sighting]
+}
+
+// sliceRate is a request rate with the time it was reported.
+type sliceRate struct {
+	rate float64 // requests a second
+	at   time.Time
+}
+
+// departure is a process that ended without a handover.
+type departure struct {
+	domain pimento.DomainName
+	at     time.Time
+}
+
+func newCore(n *Node) *core {
+	c := &core{
+		node:     n,
+		inbox:    make(chan func(*core), inboxSize),
+		confirm:  confirmer.New(n.self.ID, n.Timing),
+		claim:    claimer.New(n.self.ID),
+		plans:    &pimento.Plan{},
+		hellos:   make(map[pimento.ProcessID]time.Time),
+		leavings: make(map[pimento.ProcessID]bool),
+		loads:    make(map[pimento.SliceID]sliceRate),
+		excluded: make(chan struct{}),
+	}
+	c.current.Store(&view{plan: c.plans})
+	c.reports.Store(&map[pimento.UpstreamName]sighting{})
+	return c
+}
+
+// send lets the core run a function.
+func (c *core) send(do func(*core)) { c.inbox <- do }
+
+// call lets the core run a function and waits for it.
+func (c *core) call(ctx context.Context, do func(*core)) error {
+	done := make(chan struct{})
+	select {
+	case c.inbox <- func(c *core) { do(c); close(done) }:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (c *core) run(ctx context.Context) error {
+	ticker := time.NewTicker(coreTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case do := <-c.inbox:
+			do(c)
+		case <-ticker.C:
+		}
+		c.step(ctx)
+	}
+}
+
+// step brings the machines up to now and carries out what they ask for.
+func (c *core) step(ctx context.Context) {
+	now := time.Now()
+	c.confirm.Tick(now)
+	c.confirm.Withdraw(c.node.dispatcher.Lost())
+	c.publish()
+	c.noteAuthority(now)
+	for _, e := range c.claim.Step(now, c.confirm) {
+		c.carryOut(ctx, e)
+	}
+}
+
+// publish shows the decisions to the path of requests.
+func (c *core) publish() {
+	c.current.Store(&view{plan: c.plans, withdrawn: c.confirm.Withdrawn(), until: c.confirm.AuthorityUntil()})
+}
+
+// noteAuthority records when authority is gained or lost.
+func (c *core) noteAuthority(now time.Time) {
+	has := now.Before(c.confirm.AuthorityUntil())
+	if has == c.hadRight {
+		return
+	}
+	c.hadRight = has
+	number := pimento.EventAuthorityLost
+	if has {
+		number = pimento.EventAuthorityGained
+	}
+	c.node.events.Emit(number, "Epoch", c.confirm.Epoch())
+}
+
+func (c *core) carryOut(ctx context.Context, e claimer.Effect) {
+	d := c.node.dispatcher
+	switch e.Kind {
+	case claimer.EffectTakeUpstream:
+		if s, ok := c.plans.Config.Server(e.Upstream); ok {
+			d.TakeUpstream(s, e.Fence)
+		}
+	case claimer.EffectStopUpstream:
+		d.StopUpstream(e.Upstream)
+	case claimer.EffectTakeSlice:
+		if span, ok := spanOf(c.plans, e.Slice); ok {
+			d.TakeSlice(e.Slice, span, e.Upstream)
+		}
+	case claimer.EffectStopSlice:
+		d.StopSlice(e.Slice, e.Upstream)
+	case claimer.EffectAsk:
+		if peer, ok := c.plans.Process(e.To); ok {
+			go c.node.askHandover(ctx, peer, e.Ask)
+		}
+	}
+}
+
+func spanOf(p *pimento.Plan, id pimento.SliceID) (pimento.Range, bool) {
+	t, ok := p.Table(id.Service)
+	if !ok || len(t.Slices) == 0 {
+		return pimento.Range{}, false
+	}
+	i := t.Index(id.Start)
+	return pimento.Range{Start: id.Start, End: t.End(i)}, t.Slices[i].Start == id.Start
+}
+
+// learn takes over a newer plan.
+func (c *core) learn(plan pimento.Plan) {
+	now := time.Now()
+	old := c.plans
+	if !c.confirm.Learn(now, plan) {
+		return
+	}
+	c.plans = &plan
+	c.claim.Learn(plan)
+	c.publish()
+	c.node.remember(plan.Processes)
+	c.node.events.Emit(pimento.EventPlanLearned, "Epoch", plan.Epoch, "Writer", plan.Writer, "ConfigVersion", plan.ConfigVersion)
+	c.noteDepartures(now, old, &plan)
+	c.watchUpstreams(&plan)
+	_, listed := plan.Process(c.node.self.ID)
+	if c.listed && !listed {
+		close(c.excluded)
+	}
+	c.listed = listed
+}
+
+// watchUpstreams lets the dispatcher probe what this process may dispatch.
+func (c *core) watchUpstreams(plan *pimento.Plan) {
+	var servers []pimento.Server
+	for _, d := range plan.Upstreams {
+		if len(d.Dispatchers) == 0 || d.Dispatchers[0] != c.node.self.ID {
+			continue
+		}
+		if s, ok := plan.Config.Server(d.Upstream); ok {
+			servers = append(servers, s)
+		}
+	}
+	c.node.dispatcher.Watch(servers)
+}
+
+// noteDepartures looks for processes that left without a handover. Where two
+// failure domains lose processes at almost the same time, both copies of a
+// record may be lost.
+func (c *core) noteDepartures(now time.Time, old, plan *pimento.Plan) {
+	for _, p := range old.Processes {
+		if _, listed := plan.Process(p.ID); listed {
+			continue
+		}
+		go c.node.carrier.Forget(p.ID)
+		if p.Leaving || c.leavings[p.ID] {
+			continue
+		}
+		go c.node.replaceWitness(p.ID)
+		c.gone = append(c.gone, departure{domain: p.Domain, at: now})
+	}
+	c.gone = slices.DeleteFunc(c.gone, func(d departure) bool { return now.Sub(d.at) > repairTime })
+	for _, d := range c.gone {
+		if d.domain != c.gone[0].domain {
+			c.node.loseRecords(now)
+			return
+		}
+	}
+}
+
+// hear takes in a heartbeat.
+func (c *core) hear(now time.Time, ask pimento.ConfirmAsk) {
+	c.hellos[ask.From] = now
+	c.leavings[ask.From] = ask.Leaving
+	if len(ask.Reports) > 0 {
+		c.believe(now, ask.Reports)
+	}
+	for _, l := range ask.Loads {
+		c.loads[l.Slice] = sliceRate{rate: l.Rate, at: now}
+	}
+}
+
+// believe replaces what is known of upstreams by newer reports.
+func (c *core) believe(now time.Time, reports []pimento.UpstreamReport) {
+	next := make(map[pimento.UpstreamName]sighting)
+	for name, s := range *c.reports.Load() {
+		if now.Sub(s.at) < reportAge {
+			next[name] = s
+		}
+	}
+	for _, r := range reports {
+		next[r.Upstream] = sighting{report: r, at: now}
+	}
+	c.reports.Store(&next)
+}
+
+// authority returns the end of this process's authority.
+func (c *core) authority() time.Time { return c.current.Load().until }
+
+// plan returns the plan in force here.
+func (c *core) plan() *pimento.Plan { return c.current.Load().plan }
+
+// reached returns the limit that a run of an upstream was last reported with.
+func (c *core) reached(name pimento.UpstreamName, boot string) (int, bool) {
+	s, ok := (*c.reports.Load())[name]
+	return s.report.Limit, ok && s.report.Boot == boot
+}
+
+// handedOver reports whether no right is left here, or nobody could take one.
+func (c *core) handedOver() bool {
+	done := false
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	err := c.call(ctx, func(c *core) {
+		p, listed := c.plans.Process(c.node.self.ID)
+		alone := len(c.plans.Processes) <= 1
+		done = alone || !listed || p.Leaving && c.claim.Idle()
+	})
+	return err == nil && done
+}
--- /dev/null
+++ b/standin/platform.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"pimentorelay.example/pimento/platformfaker"
+)
+
+const headerTimeout = 5 * time.Second
+
+const platformHelp = `Serves the object API of the platform, in memory.
+
+Examples:
+
+  standin platform --address 127.0.0.1:8400
+
+  # Let the platform be down, and up again:
+  curl -X PUT http://127.0.0.1:8400/faults -d '{"Down": true}'
+  curl -X PUT http://127.0.0.1:8400/faults -d '{}'
+
+  # Let the next write stand without an answer:
+  curl -X PUT http://127.0.0.1:8400/faults -d '{"LoseAnswers": 1}'`
+
+func newPlatformCommand() *cobra.Command {
+	var address string
+	cmd := &cobra.Command{
+		Use:   "platform",
+		Short: "Serve the platform's object API",
+		Long:  platformHelp,
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			a, err := netip.ParseAddrPort(address)
+			if err != nil || !a.Addr().IsLoopback() {
+				return fmt.Errorf("--address %q is not a loopback IP number with a port", address)
+			}
+			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			server := &http.Server{Addr: a.String(), Handler: (&platformfaker.Server{}).Handler(), ReadHeaderTimeout: headerTimeout}
+			go func() {
+				<-ctx.Done()
+				server.Close()
+			}()
+			if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+				return err
+			}
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&address, "address", "127.0.0.1:8400", "loopback IP number and TCP port")
+	return cmd
+}
