Relist no process by old signs of life, and balance more calmly

Cause: after a kill -9 of the leading entry process the plan listed the dead process again every 300 ms, because its last heartbeat counted as a sign of life for one second; and slices moved every second, because a cold upstream's limit changed its share. Each new plan made waiting takeovers start over.

Ruled out: the lease length (unchanged at 280 ms).

Conclusion: a sign of life counts only if it came after the plan that excluded its sender; cold upstreams only limit what they are given.

--- a/dispatcher/meter.go
+++ b/dispatcher/meter.go
@@ -7,7 +7,7 @@
 
 const (
 	// rateWindow is the time constant of a request rate.
-	rateWindow = 5 * time.Second
+	rateWindow = 10 * time.Second
 	// minRate is the request rate in requests a second below which a slice is
 	// not reported.
 	minRate = 0.5
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -39,7 +39,7 @@
 	movesPerPlan = 8
 	// baseWeight is the weight of a slice without requests, in requests a
 	// second.
-	baseWeight = 1.0
+	baseWeight = 4.0
 )
 
 // Input is what the writer of a plan knows.
--- a/planner/table.go
+++ b/planner/table.go
@@ -12,8 +12,14 @@
 	server   pimento.Server
 	domain   pimento.DomainName
 	capacity float64
+	bears    float64 // part of the capacity that it bears now, at most 1
 	weight   float64
-	count    int
+}
+
+// takes reports whether an upstream may be given more weight now. One that is
+// cold takes no more than its part of the mean.
+func (s *share) takes(extra, mean float64) bool {
+	return s.bears >= 1 || s.over(extra) <= mean*s.bears
 }
 
 // over returns the weight of a share relative to its capacity.
@@ -68,11 +74,11 @@
 		if !b.in.Config.Eligible(s) || known && r.Condition == pimento.ConditionLost {
 			continue
 		}
-		capacity := float64(s.Slots)
+		bears := 1.0
 		if known && r.Condition == pimento.ConditionCold {
-			capacity = float64(max(1, min(r.Limit, s.Slots)))
+			bears = float64(max(1, min(r.Limit, s.Slots))) / float64(s.Slots)
 		}
-		b.shares = append(b.shares, &share{server: s, domain: b.in.Config.DomainOf(s), capacity: capacity})
+		b.shares = append(b.shares, &share{server: s, domain: b.in.Config.DomainOf(s), capacity: float64(s.Slots), bears: bears})
 	}
 }
 
@@ -102,7 +108,6 @@
 
 func (b *builder) give(s *pimento.Slice, to *share) {
 	to.weight += b.weight(s)
-	to.count++
 }
 
 // placeOrphans gives slices without an owner to the least loaded.
@@ -127,7 +132,7 @@
 	for range movesPerPlan {
 		mean := b.mean()
 		from, _ := least(b.shares, func(x *share) (float64, bool) { return -x.over(0), true })
-		if from.over(0) <= mean*maxShare || !b.moveOne(from) {
+		if from.over(0) <= mean*maxShare || !b.moveOne(from, mean) {
 			return
 		}
 	}
@@ -145,15 +150,15 @@
 
 // moveOne moves the slice that brings source and target closest together, if
 // any move lowers the higher of the two.
-func (b *builder) moveOne(from *share) bool {
-	to, _ := least(b.shares, func(x *share) (float64, bool) { return x.over(0), x != from })
+func (b *builder) moveOne(from *share, mean float64) bool {
+	to, _ := least(b.shares, func(x *share) (float64, bool) { return x.over(0), x != from && x.takes(baseWeight, mean) })
 	if to == nil {
 		return false
 	}
 	best, ok := least(b.slices, func(s pimento.Slice) (float64, bool) {
 		w := b.weight(&s)
 		peak := max(from.over(-w), to.over(w))
-		return peak, s.Owners[0] == from.server.Name && peak < from.over(0)
+		return peak, s.Owners[0] == from.server.Name && peak < from.over(0) && to.takes(w, mean)
 	})
 	if !ok {
 		return false
--- a/runner/core.go
+++ b/runner/core.go
@@ -191,6 +191,7 @@
 	c.publish()
 	c.node.remember(plan.Processes)
 	c.node.events.Emit(pimento.EventPlanLearned, "Epoch", plan.Epoch, "Writer", plan.Writer, "ConfigVersion", plan.ConfigVersion)
+	c.forgetHellos(&plan)
 	c.noteDepartures(now, old, &plan)
 	c.watchUpstreams(&plan)
 	_, listed := plan.Process(c.node.self.ID)
@@ -200,6 +201,17 @@
 	c.listed = listed
 }
 
+// forgetHellos drops the signs of life of unlisted processes, so that one that
+// was just excluded has to speak again before it is listed anew.
+func (c *core) forgetHellos(plan *pimento.Plan) {
+	for id := range c.hellos {
+		if _, listed := plan.Process(id); !listed {
+			delete(c.hellos, id)
+			delete(c.leavings, id)
+		}
+	}
+}
+
 // watchUpstreams lets the dispatcher probe what this process may dispatch.
 func (c *core) watchUpstreams(plan *pimento.Plan) {
 	var servers []pimento.Server
--- a/runner/leader.go
+++ b/runner/leader.go
@@ -21,7 +21,7 @@
 	// hostsPause is the time between two readings of the host list.
 	hostsPause = 5 * time.Second
 	// balancePause is the least time from one plan to one that only balances.
-	balancePause = time.Second
+	balancePause = 2 * time.Second
 	// standbyDelay is how much longer each further candidate waits before it
 	// writes a plan in place of those before it.
 	standbyDelay = 2 * time.Second
