Show a whole deployment in one command, and keep live processes listed

Cause: go run ./demo showed entry processes excluding themselves. A new confirmer suspected everybody by signs of life from before anybody had to ask it; a standby leader whose list of registered processes was older than the plan took what it did not know for ended, and left it out.

Ruled out: lost heartbeats (all were answered) and lease lengths.

Conclusion: absence from a list counts only if the list was read while the process was already in the plan.

--- /dev/null
+++ b/assembler/deployment.go
@@ -0,0 +1,253 @@
+// Package assembler starts a whole deployment in one process: the stand-ins of
+// the platform and of all upstreams of a sheet, and entry processes, each on a
+// free loopback port. Tests, the demo and the load tool use it.
+//
+// # Usage
+//
+//	d := &assembler.Deployment{Config: config, Work: 2 * time.Millisecond}
+//	if err := d.Start(); err != nil { ... }
+//	defer d.Stop()
+//	err := d.AwaitReady(10 * time.Second)
+//	response, err := http.Get(d.URL(0) + "/guides/1")
+package assembler
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/confirmer"
+	"pimentorelay.example/pimento/platformfaker"
+	"pimentorelay.example/pimento/runner"
+	"pimentorelay.example/pimento/storer"
+	"pimentorelay.example/pimento/upstreamfaker"
+)
+
+const (
+	// readyPause is the time between two looks at whether all is ready.
+	readyPause = 10 * time.Millisecond
+	// startTimeout bounds the start of an entry process.
+	startTimeout = 10 * time.Second
+)
+
+// loopback is an address with a free port.
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// Deployment is everything that runs. Set the exported fields of the first
+// group before Start; the others are set by it.
+type Deployment struct {
+	Config  pimento.Config // its addresses are replaced by free ones
+	Entries int            // number of entry processes; 0: one a failure domain
+	Work    time.Duration  // how long a request occupies a slot
+	Warm    bool           // upstreams do not start cold
+	Log     hclog.Logger
+	Timing  confirmer.Timing // zero: the product's
+
+	Platform  *platformfaker.Server
+	Upstreams map[pimento.UpstreamName]*upstreamfaker.Server
+
+	platformURL string
+	servers     []*http.Server
+	entries     []*Entry
+	mu          sync.Mutex
+}
+
+// Entry is one entry process.
+type Entry struct {
+	Process pimento.Process
+	node    *runner.Node
+	cancel  context.CancelFunc
+	done    chan error
+}
+
+// Start starts everything. The configuration is not applied yet.
+func (d *Deployment) Start() error {
+	if d.Log == nil {
+		d.Log = hclog.NewNullLogger()
+	}
+	if d.Timing == (confirmer.Timing{}) {
+		d.Timing = confirmer.DefaultTiming()
+	}
+	if d.Entries == 0 {
+		d.Entries = len(d.Config.Domains)
+	}
+	d.Platform = &platformfaker.Server{}
+	address, err := d.serve(d.Platform.Handler())
+	if err != nil {
+		return fmt.Errorf("Deployment.Start: %w", err)
+	}
+	d.platformURL = "http://" + address.String()
+	if err := d.startUpstreams(); err != nil {
+		return fmt.Errorf("Deployment.Start: %w", err)
+	}
+	for i := range d.Entries {
+		if _, err := d.StartEntry(d.domain(i)); err != nil {
+			return fmt.Errorf("Deployment.Start: %w", err)
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) domain(i int) pimento.DomainName {
+	return d.Config.Domains[i%len(d.Config.Domains)].Name
+}
+
+// serve serves a handler on a free port.
+func (d *Deployment) serve(h http.Handler) (netip.AddrPort, error) {
+	l, err := net.Listen("tcp", loopback.String())
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	server := &http.Server{Handler: h}
+	d.servers = append(d.servers, server)
+	go server.Serve(l)
+	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+}
+
+func (d *Deployment) startUpstreams() error {
+	d.Upstreams = make(map[pimento.UpstreamName]*upstreamfaker.Server)
+	for i := range d.Config.Servers {
+		s := &d.Config.Servers[i]
+		service, _ := d.Config.Service(s.Service)
+		faker := &upstreamfaker.Server{
+			Name: s.Name, Slots: s.Slots, Work: d.Work, StartWarm: d.Warm,
+			Checked: service.Fencing == pimento.FencingChecked,
+		}
+		faker.Start()
+		address, err := d.serve(faker.Handler())
+		if err != nil {
+			return err
+		}
+		s.Address = address
+		d.Upstreams[s.Name] = faker
+	}
+	return nil
+}
+
+// StartEntry starts one more entry process and waits until it is registered.
+func (d *Deployment) StartEntry(domain pimento.DomainName) (*Entry, error) {
+	d.mu.Lock()
+	host := pimento.HostName(fmt.Sprintf("entry-%d", len(d.entries)+1))
+	d.mu.Unlock()
+	started := make(chan pimento.Process, 1)
+	e := &Entry{done: make(chan error, 1), node: &runner.Node{
+		Host: host, Domain: domain, Peer: loopback, Caller: loopback, Operator: loopback,
+		Platform: d.Client(), Log: d.Log.Named(string(host)), Timing: d.Timing,
+		Started: func(p pimento.Process) { started <- p },
+	}}
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	go func() { e.done <- e.node.Run(ctx) }()
+	select {
+	case e.Process = <-started:
+	case err := <-e.done:
+		return nil, errors.Join(errors.New("entry process ended at its start"), err)
+	case <-time.After(startTimeout):
+		return nil, errors.New("entry process did not register")
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.entries = append(d.entries, e)
+	return e, nil
+}
+
+// Client returns a client of the platform.
+func (d *Deployment) Client() pimento.Platform {
+	return &storer.Client{Base: d.platformURL, HTTP: &http.Client{Transport: &http.Transport{}}}
+}
+
+// Entry returns the entry process that was started as number i.
+func (d *Deployment) Entry(i int) *Entry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.entries[i]
+}
+
+// URL returns where entry process i takes callers' requests.
+func (d *Deployment) URL(i int) string { return "http://" + d.Entry(i).Process.Caller.String() }
+
+// Status returns what the process knows.
+func (e *Entry) Status() pimento.Status { return e.node.Status() }
+
+// Stop shuts the process down gracefully and waits for it.
+func (e *Entry) Stop() error {
+	e.cancel()
+	return <-e.done
+}
+
+// Kill ends the process as a crash would, without a word to anybody.
+func (e *Entry) Kill() { e.node.Kill() }
+
+// Apply makes a configuration the accepted one and returns its version.
+func (d *Deployment) Apply(ctx context.Context, config pimento.Config) (uint64, error) {
+	value, err := json.Marshal(config)
+	if err != nil {
+		return 0, fmt.Errorf("Deployment.Apply: %w", err)
+	}
+	client := d.Client()
+	var based uint64
+	old, err := client.Get(ctx, pimento.ObjectConfig)
+	var missing *pimento.NotFoundError
+	if err == nil {
+		based = old.Version
+	} else if !errors.As(err, &missing) {
+		return 0, fmt.Errorf("Deployment.Apply: %w", err)
+	}
+	return client.Put(ctx, pimento.ObjectConfig, based, value)
+}
+
+// AwaitReady waits until the given version is in force in every entry process
+// that runs and no right is waited for.
+func (d *Deployment) AwaitReady(version uint64, timeout time.Duration) error {
+	deadline := time.Now().Add(timeout)
+	for {
+		ready, listed := 0, d.running()
+		for _, e := range listed {
+			if s := e.Status(); s.Confirmed && s.ConfigVersion >= version && s.Waiting == 0 {
+				ready++
+			}
+		}
+		if ready == len(listed) {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return fmt.Errorf("Deployment.AwaitReady: version %d is in force in %d of %d entry processes", version, ready, len(listed))
+		}
+		time.Sleep(readyPause)
+	}
+}
+
+func (d *Deployment) running() []*Entry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []*Entry
+	for _, e := range d.entries {
+		select {
+		case err := <-e.done:
+			e.done <- err
+		default:
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// Stop ends everything at once.
+func (d *Deployment) Stop() {
+	for _, e := range d.running() {
+		e.Kill()
+		e.cancel()
+	}
+	for _, s := range d.servers {
+		s.Close()
+	}
+}
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -129,6 +129,13 @@
 	}
 }
 
+// Abort closes the socket without a word to the peers, as a crash would.
+func (c *Carrier) Abort() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.transport.Conn.Close()
+}
+
 func (c *Carrier) close(listener *quic.Listener) {
 	listener.Close()
 	c.mu.Lock()
--- a/confirmer/machine.go
+++ b/confirmer/machine.go
@@ -114,6 +114,9 @@
 	m.carried = m.AuthorityUntil()
 	m.addMark(plan.Epoch)
 	old := m.heard
+	if !m.isConfirmer() {
+		old = nil // nobody had to ask this process so far
+	}
 	m.plan = plan
 	m.reset()
 	m.heard = make(map[pimento.ProcessID]time.Time, len(plan.Processes))
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -54,6 +54,9 @@
 	// retryMin and retryMax bound the pause between two tries.
 	retryMin = 5 * time.Millisecond
 	retryMax = 60 * time.Millisecond
+	// configWait is how long a request waits for a process that cannot tell
+	// which configuration is in force.
+	configWait = 2 * time.Second
 	// retryAfter is what refused callers are told to wait.
 	retryAfter = time.Second
 )
@@ -200,9 +203,24 @@
 	return pimento.NotRun(pimento.ReasonBadRequest, fmt.Sprintf(format, args...))
 }
 
+// awaitConfig returns the configuration in force. A process that has lost its
+// authority may get it back soon, so the request waits a while.
+func (r *Receiver) awaitConfig(ctx context.Context, deadline time.Time) (*pimento.Config, bool) {
+	if limit := time.Now().Add(configWait); limit.Before(deadline) {
+		deadline = limit
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	for {
+		if config, ok := r.Router.Config(); ok || !sleep(ctx, retryMax) {
+			return config, ok
+		}
+	}
+}
+
 // address finds service, path and place of the key.
 func (r *Receiver) address(req *http.Request, head *pimento.RequestHead) error {
-	config, ok := r.Router.Config()
+	config, ok := r.awaitConfig(req.Context(), head.Deadline)
 	if !ok {
 		return pimento.NotRun(pimento.ReasonNoAuthority, "this process cannot tell which configuration is in force")
 	}
--- a/runner/leader.go
+++ b/runner/leader.go
@@ -35,6 +35,7 @@
 	node       *Node
 	registered []pimento.Process
 	hosts      []pimento.HostName
+	listedThen *pimento.Plan // in force when the registered were read
 	listAt     time.Time
 	hostsAt    time.Time
 	listed     bool
@@ -67,7 +68,7 @@
 	if err := l.node.core.call(ctx, func(c *core) { s = c.situation(l.ended) }); err != nil {
 		return
 	}
-	if !l.read(ctx, s.rank) {
+	if !l.read(ctx, s) {
 		return
 	}
 	plan, config := l.node.follower.stored()
@@ -82,6 +83,9 @@
 	now := time.Now()
 	if l.neededAt.IsZero() {
 		l.neededAt = now
+		if s.rank > 0 {
+			l.listAt = time.Time{} // what is read rarely may be old
+		}
 	}
 	if now.Sub(l.neededAt) >= time.Duration(s.rank)*standbyDelay {
 		l.write(ctx, next, plan.version)
@@ -122,10 +126,10 @@
 
 // read refreshes the registered processes and the host list, and reports
 // whether they are known.
-func (l *leader) read(ctx context.Context, rank int) bool {
+func (l *leader) read(ctx context.Context, s situation) bool {
 	now := time.Now()
 	wait := listPause
-	if rank > 0 {
+	if s.rank > 0 {
 		wait *= standbyFactor
 	}
 	if now.Sub(l.listAt) >= wait {
@@ -134,7 +138,7 @@
 		if err != nil {
 			return l.listed
 		}
-		l.registered, l.listed = decodeProcesses(objects), true
+		l.registered, l.listed, l.listedThen = decodeProcesses(objects), true, s.plan
 		l.node.remember(l.registered)
 	}
 	if now.Sub(l.hostsAt) >= hostsPause {
@@ -165,7 +169,8 @@
 	}
 	i := slices.IndexFunc(l.registered, func(p pimento.Process) bool { return p.ID == id })
 	if i < 0 {
-		return true
+		_, was := l.listedThen.Process(id) // every process registers before it is listed
+		return was
 	}
 	old := l.registered[i]
 	if slices.ContainsFunc(l.registered, func(p pimento.Process) bool { return p.Supersedes(old) }) {
@@ -181,16 +186,17 @@
 		Ended: make(map[pimento.ProcessID]bool), Suspected: s.suspected,
 		Reports: make(map[pimento.UpstreamName]pimento.UpstreamReport), Loads: s.loads,
 	}
+	in.Registered = slices.Clone(prior.Processes)
 	for _, p := range l.registered {
 		_, listed := prior.Process(p.ID)
-		p.Leaving = s.leaving[p.ID]
-		if listed || s.hellos[p.ID] || p.ID == l.node.self.ID {
+		if !listed && (s.hellos[p.ID] || p.ID == l.node.self.ID) {
 			in.Registered = append(in.Registered, p)
 		}
-		in.Ended[p.ID] = l.ended(p.ID)
 	}
-	for _, p := range prior.Processes {
-		in.Ended[p.ID] = in.Ended[p.ID] || l.ended(p.ID)
+	for i := range in.Registered {
+		p := &in.Registered[i]
+		p.Leaving = s.leaving[p.ID]
+		in.Ended[p.ID] = l.ended(p.ID)
 	}
 	for name, r := range *l.node.core.reports.Load() {
 		if time.Since(r.at) < reportAge {
--- a/runner/node.go
+++ b/runner/node.go
@@ -90,6 +90,8 @@
 	callers    net.Listener
 	operators  net.Listener
 	leaving    atomic.Bool
+	killed     chan struct{}
+	killOnce   sync.Once
 	follower   *follower
 	reportAt   time.Time // of the heartbeater: the next load report
 
@@ -116,6 +118,10 @@
 	defer stop()
 	ended := n.supervise(duties)
 	select {
+	case <-n.killed:
+		n.carrier.Abort()
+		stop()
+		return nil
 	case <-ctx.Done():
 		n.shutDown()
 	case <-n.core.excluded:
@@ -131,6 +137,11 @@
 	return nil
 }
 
+// Kill ends the process as a crash would: no handover, no word to its peers,
+// and its registration stays. It is for tests and works once Started was
+// called.
+func (n *Node) Kill() { n.killOnce.Do(func() { close(n.killed) }) }
+
 // prepare makes the parts and opens the addresses.
 func (n *Node) prepare() error {
 	id := pimento.ProcessID(fmt.Sprintf("%s.%s", n.Host, strconv.FormatUint(rand.Uint64(), 36)))
@@ -141,6 +152,7 @@
 	n.identity = identity
 	n.events = &recorder.Recorder{Process: id, Log: n.Log}
 	n.metrics = metrics.NewSet()
+	n.killed = make(chan struct{})
 	n.book, n.witnessed = &deduper.Book{}, &deduper.Book{}
 	n.directory = make(map[pimento.ProcessID]pimento.Process)
 	if n.Connect == nil {
