Wait for authority of earlier epochs before a takeover within an epoch

Cause: the simulation found two users of an upstream. A process cut off from a plan's news kept authority of epoch 1 by its own vote; the others withdrew it in epoch 2 and took over after one lease of epoch 2, though its authority was renewed in epoch 1 until shortly before.

Ruled out: lost or doubled answers (the handover question was never free).

Schedules now also start at the beginning, aim half of the faults at one process, and have the store down in half of the cases.

Conclusion: a withdrawn process has lapsed only when its authority of the epoch and that of all earlier epochs have lapsed.

--- a/claimer/simulation_test.go
+++ b/claimer/simulation_test.go
@@ -64,18 +64,31 @@
 	Other  int
 }
 
-// schedule draws faults that fall into the same few seconds.
+// schedule draws faults that fall into the same few seconds, in every fourth
+// schedule from the start on.
 func schedule(rng *rand.Rand) []fault {
 	out := make([]fault, 2+rng.IntN(6))
+	first := settleTime
+	if rng.IntN(4) == 0 {
+		first = 0
+	}
+	aim := rng.IntN(simProcesses) // half of the faults hit the same process
 	for i := range out {
+		target := aim
+		if rng.IntN(2) == 0 {
+			target = rng.IntN(simProcesses)
+		}
 		out[i] = fault{
 			Kind:   faultKinds[rng.IntN(len(faultKinds))],
-			At:     settleTime + time.Duration(rng.IntN(2000))*time.Millisecond,
+			At:     first + time.Duration(rng.IntN(2000))*time.Millisecond,
 			For:    time.Duration(30+rng.IntN(1500)) * time.Millisecond,
-			Target: rng.IntN(simProcesses),
+			Target: target,
 			Other:  rng.IntN(simProcesses),
 		}
 	}
+	if rng.IntN(2) == 0 { // no new plan comes to the rescue
+		out = append(out, fault{Kind: faultStoreDown, At: first, For: 3 * time.Second})
+	}
 	return out
 }
 
@@ -94,6 +107,39 @@
 	}
 }
 
+// regressions are schedules that once broke a promise.
+var regressions = []struct {
+	name   string
+	seed   uint64
+	faults []fault
+}{
+	{
+		name: "a withdrawn process carries authority of an earlier epoch", seed: 9,
+		faults: []fault{
+			{faultLoseWrite, 88 * time.Millisecond, 2432 * time.Millisecond, 1, 4},
+			{faultStoreSlow, 121 * time.Millisecond, 1232 * time.Millisecond, 3, 3},
+			{faultCrash, 79 * time.Millisecond, 188 * time.Millisecond, 2, 3},
+			{faultCrash, 70 * time.Millisecond, 50 * time.Millisecond, 4, 1},
+			{faultCut, 1 * time.Millisecond, 51 * time.Millisecond, 0, 4},
+		},
+	},
+}
+
+func TestRegressions(t *testing.T) {
+	for _, r := range regressions {
+		t.Run(r.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := r.seed; seed < r.seed+100; seed++ {
+				s := newSimulation(seed)
+				s.faults = r.faults
+				if err := s.run(); err != nil {
+					t.Fatalf("seed %d: %v", seed, err)
+				}
+			}
+		})
+	}
+}
+
 // simProcess is one process of the simulation.
 type simProcess struct {
 	info    pimento.Process
--- a/confirmer/machine.go
+++ b/confirmer/machine.go
@@ -322,10 +322,11 @@
 	return m.agreedAt().After(since.Add(m.timing.Lease + m.timing.Drift))
 }
 
-// Lapsed reports whether the authority of a withdrawn process has lapsed.
+// Lapsed reports whether the authority of a withdrawn process has lapsed: that
+// of this epoch, and that which it may carry from earlier ones.
 func (m *Machine) Lapsed(id pimento.ProcessID) bool {
 	since, ok := m.blockedP[id]
-	return ok && m.lapsed(since)
+	return ok && m.lapsed(since) && m.Settled(m.plan.Epoch)
 }
 
 // Lost reports whether enough confirmers know that an upstream is lost, so
