Bring about failures on whole deployments, and mend what they showed

Cause: TestDuplicates and TestRollingReplacement showed second runs of an order, TestSettled a forgotten lapse. (1) A process that took slices over did not use the records it kept itself as a witness. (2) A merged record named the witness of a later copy, which could then retract the first. (3) The records of a process that left gracefully lost their second copy. (4) It left before its successors had gathered its records. (5) A lapse right before a new plan kept the history of earlier epochs.

Ruled out: the gathering itself (its answers were complete).

Conclusion: witnesses hear the end before the caller does, and a request with an ID may be sent again when its dispatcher is gone.

--- a/assembler/deployment.go
+++ b/assembler/deployment.go
@@ -251,3 +251,64 @@
 		s.Close()
 	}
 }
+
+// Runs counts how often each non-idempotent request took effect.
+func (d *Deployment) Runs() map[string]int {
+	out := make(map[string]int)
+	for _, u := range d.Upstreams {
+		for _, r := range u.Journal() {
+			if !r.Idempotent {
+				out[r.ID]++
+			}
+		}
+	}
+	return out
+}
+
+// CheckRuns compares what callers were told with what ran: nothing twice, what
+// was answered once, what was refused as not run never.
+func (d *Deployment) CheckRuns(outcomes map[string]pimento.Outcome) error {
+	runs := d.Runs()
+	var faults []error
+	for id, n := range runs {
+		if n > 1 {
+			faults = append(faults, fmt.Errorf("request %q ran %d times", id, n))
+		}
+	}
+	for id, o := range outcomes {
+		if o == pimento.OutcomeAnswered && runs[id] != 1 || o == pimento.OutcomeNotRun && runs[id] != 0 {
+			faults = append(faults, fmt.Errorf("request %q ran %d times, its caller was told %s", id, runs[id], o))
+		}
+	}
+	return errors.Join(faults...)
+}
+
+// RunsIn counts the requests that upstreams of a failure domain have run.
+func (d *Deployment) RunsIn(domain pimento.DomainName) int {
+	n := 0
+	for _, s := range d.Config.Servers {
+		if d.Config.DomainOf(s) == domain {
+			n += d.Upstreams[s.Name].Report().Runs
+		}
+	}
+	return n
+}
+
+// FellOver counts how often a cold upstream got more than it bears.
+func (d *Deployment) FellOver() int {
+	n := 0
+	for _, u := range d.Upstreams {
+		n += u.Report().FellOver
+	}
+	return n
+}
+
+// SetDomain changes the state of a failure domain in the configuration, which
+// is not applied yet.
+func (d *Deployment) SetDomain(name pimento.DomainName, state pimento.State) {
+	for i := range d.Config.Domains {
+		if d.Config.Domains[i].Name == name {
+			d.Config.Domains[i].State = state
+		}
+	}
+}
--- /dev/null
+++ b/assembler/failure_test.go
@@ -0,0 +1,358 @@
+package assembler_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/assembler"
+	"pimentorelay.example/pimento/parser"
+	"pimentorelay.example/pimento/platformfaker"
+	"pimentorelay.example/pimento/sender"
+	"pimentorelay.example/pimento/upstreamfaker"
+)
+
+const readyTimeout = 30 * time.Second
+
+// smallSheet has three failure domains and two upstreams of each service in
+// each, so that the loss of a domain leaves two thirds.
+func smallSheet(t *testing.T, fencing pimento.Fencing) pimento.Config {
+	t.Helper()
+	var b strings.Builder
+	b.WriteString("Kind,Name,Service,Domain,Host,Address,Sharing,Fencing,Slots,Connections,State\n")
+	fmt.Fprintf(&b, "Service,guidebook,,,,,Keyed,%s,,,\nService,partsdesk,,,,,Unkeyed,%s,,,\n", fencing, fencing)
+	b.WriteString("Category,TIMEOUT 504,guidebook,,,,,,,,\nCategory,connection refused,partsdesk,,,,,,,,\n")
+	for d := range 3 {
+		fmt.Fprintf(&b, "Domain,d%d,,,,,,,,,In\n", d)
+	}
+	for i := range 6 {
+		fmt.Fprintf(&b, "Host,h%d,,d%d,,,,,,,Arriving\n", i, i%3)
+		fmt.Fprintf(&b, "Upstream,guidebook-%d,guidebook,,h%d,127.0.0.1:%d,,,4,50,\n", i, i, 1000+i)
+		fmt.Fprintf(&b, "Upstream,partsdesk-%d,partsdesk,,h%d,127.0.0.1:%d,,,4,50,\n", i, i, 2000+i)
+	}
+	config, err := parser.Parse(strings.NewReader(b.String()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return config
+}
+
+// start starts a deployment with the small sheet in force.
+func start(t *testing.T, fencing pimento.Fencing) *assembler.Deployment {
+	t.Helper()
+	d := &assembler.Deployment{Config: smallSheet(t, fencing), Entries: 5, Work: time.Millisecond}
+	if err := d.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Stop)
+	apply(t, d)
+	return d
+}
+
+func apply(t *testing.T, d *assembler.Deployment) {
+	t.Helper()
+	version, err := d.Apply(t.Context(), d.Config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := d.AwaitReady(version, readyTimeout); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func stream(d *assembler.Deployment, entries ...int) *sender.Stream {
+	s := &sender.Stream{Callers: 6, Keyed: "/TIMEOUT%20504/guide", Orders: "/connection%20refused/order"}
+	for _, i := range entries {
+		s.URLs = append(s.URLs, d.URL(i))
+	}
+	s.Start()
+	return s
+}
+
+// faultCase is a fault that is brought about while requests go on through
+// entries 0 and 1, which it leaves alone.
+type faultCase struct {
+	name string
+	// bring brings the fault about and end ends it.
+	bring func(t *testing.T, d *assembler.Deployment)
+	end   func(t *testing.T, d *assembler.Deployment)
+}
+
+// Entries 0 to 4 are in d0, d1, d2, d0, d1.
+var faultCases = []faultCase{
+	{name: "an entry process is killed", bring: func(_ *testing.T, d *assembler.Deployment) { d.Entry(2).Kill() }},
+	{name: "two entry processes of two domains are killed at once", bring: func(_ *testing.T, d *assembler.Deployment) {
+		d.Entry(2).Kill()
+		d.Entry(3).Kill()
+	}},
+	{
+		name: "an entry process is killed while the platform is down",
+		bring: func(_ *testing.T, d *assembler.Deployment) {
+			d.Platform.Inject(platformfaker.Faults{Down: true})
+			d.Entry(2).Kill()
+		},
+		end: func(_ *testing.T, d *assembler.Deployment) { d.Platform.Inject(platformfaker.Faults{}) },
+	},
+	{name: "an entry process shuts down gracefully", bring: func(t *testing.T, d *assembler.Deployment) {
+		if err := d.Entry(2).Stop(); err != nil {
+			t.Error(err)
+		}
+	}},
+	{
+		name: "an upstream is down and returns",
+		bring: func(_ *testing.T, d *assembler.Deployment) {
+			d.Upstreams["guidebook-1"].Inject(upstreamfaker.Faults{Down: true})
+		},
+		end: func(_ *testing.T, d *assembler.Deployment) {
+			d.Upstreams["guidebook-1"].Inject(upstreamfaker.Faults{})
+		},
+	},
+	{
+		name: "an upstream freezes and returns",
+		bring: func(_ *testing.T, d *assembler.Deployment) {
+			d.Upstreams["guidebook-1"].Inject(upstreamfaker.Faults{Freeze: true})
+			d.Upstreams["partsdesk-1"].Inject(upstreamfaker.Faults{Freeze: true})
+		},
+		end: func(_ *testing.T, d *assembler.Deployment) {
+			d.Upstreams["guidebook-1"].Inject(upstreamfaker.Faults{})
+			d.Upstreams["partsdesk-1"].Inject(upstreamfaker.Faults{})
+		},
+	},
+	{
+		name: "an upstream is lost while the platform is down",
+		bring: func(_ *testing.T, d *assembler.Deployment) {
+			d.Platform.Inject(platformfaker.Faults{Down: true})
+			d.Upstreams["guidebook-1"].Inject(upstreamfaker.Faults{Down: true})
+		},
+		end: func(_ *testing.T, d *assembler.Deployment) {
+			d.Platform.Inject(platformfaker.Faults{})
+			d.Upstreams["guidebook-1"].Inject(upstreamfaker.Faults{})
+		},
+	},
+	{
+		name: "upstreams restart cold without a warning",
+		bring: func(_ *testing.T, d *assembler.Deployment) {
+			d.Upstreams["guidebook-1"].Start()
+			d.Upstreams["partsdesk-1"].Start()
+		},
+	},
+	{
+		name: "a failure domain is lost with its processes and upstreams",
+		bring: func(_ *testing.T, d *assembler.Deployment) {
+			d.Entry(2).Kill()
+			for _, i := range []int{2, 5} {
+				d.Upstreams[pimento.UpstreamName(fmt.Sprintf("guidebook-%d", i))].Inject(upstreamfaker.Faults{Down: true})
+				d.Upstreams[pimento.UpstreamName(fmt.Sprintf("partsdesk-%d", i))].Inject(upstreamfaker.Faults{Down: true})
+			}
+		},
+	},
+	{
+		name: "writes to the platform stand without an answer",
+		bring: func(t *testing.T, d *assembler.Deployment) {
+			d.Platform.Inject(platformfaker.Faults{LoseAnswers: 3})
+			d.Entry(2).Kill()
+		},
+	},
+	{
+		name: "answers are crossed and cut short",
+		bring: func(_ *testing.T, d *assembler.Deployment) {
+			for _, u := range d.Upstreams {
+				u.Inject(upstreamfaker.Faults{CrossNext: 2, CutNext: 2})
+			}
+		},
+	},
+	{name: "the platform is slow", bring: func(_ *testing.T, d *assembler.Deployment) {
+		d.Platform.Inject(platformfaker.Faults{Delay: pimento.Span(300 * time.Millisecond)})
+		d.Entry(2).Kill()
+	}},
+}
+
+// TestFaults brings about one fault at a time under a stream of requests. No
+// answer may be wrong, nothing non-idempotent may run twice, what was refused
+// must not have run, and once the fault is over every request is answered.
+func TestFaults(t *testing.T) {
+	for _, fencing := range []pimento.Fencing{pimento.FencingChecked, pimento.FencingUnchecked} {
+		for _, c := range faultCases {
+			t.Run(fmt.Sprintf("%s/%s", fencing, c.name), func(t *testing.T) {
+				is := is.New(t)
+				d := start(t, fencing)
+				s := stream(d, 0, 1)
+				time.Sleep(300 * time.Millisecond)
+				c.bring(t, d)
+				time.Sleep(1500 * time.Millisecond)
+				if c.end != nil {
+					c.end(t, d)
+				}
+				time.Sleep(500 * time.Millisecond)
+				s.Stop()
+				got := s.Summary()
+				t.Log(got)
+				is.Equal(len(got.Wrong), 0) // no wrong answer is taken as whole
+				is.Equal(got.NotRun, 0)     // everything could be answered before its deadline
+				is.NoErr(d.CheckRuns(s.OrderOutcomes()))
+				is.Equal(d.FellOver(), 0) // no cold upstream gets more than it bears
+			})
+		}
+	}
+}
+
+func owner(d *assembler.Deployment, id string) *upstreamfaker.Server {
+	for _, u := range d.Upstreams {
+		for _, r := range u.Journal() {
+			if r.ID == id {
+				return u
+			}
+		}
+	}
+	return nil
+}
+
+// dispatcherOf returns the number of the entry that dispatches an upstream.
+func dispatcherOf(d *assembler.Deployment, name pimento.UpstreamName) int {
+	for i := range 5 {
+		for _, r := range d.Entry(i).Status().Upstreams {
+			if r.Upstream == name {
+				return i
+			}
+		}
+	}
+	return -1
+}
+
+// TestDuplicates sends an order again through other entries, after the process
+// that dispatched it, the one that received it, or both have died. It may run
+// once only.
+func TestDuplicates(t *testing.T) {
+	for _, receiver := range []int{0, 1, 2, 3, 4} {
+		for _, kill := range []string{"nobody", "dispatcher", "receiver", "both"} {
+			t.Run(fmt.Sprintf("receiver %d, killed %s", receiver, kill), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				d := start(t, pimento.FencingUnchecked)
+				r := sender.Request{Method: "POST", URL: d.URL(receiver) + "/connection%20refused/order", ID: "order", Body: []byte("crate")}
+				first, err := sender.Send(t.Context(), r)
+				is.NoErr(err)
+				dispatcher := dispatcherOf(d, owner(d, "order").Name)
+				dead := map[int]bool{}
+				if kill == "dispatcher" || kill == "both" {
+					dead[dispatcher] = true
+				}
+				if kill == "receiver" || kill == "both" {
+					dead[receiver] = true
+				}
+				for i := range dead {
+					d.Entry(i).Kill()
+				}
+				for i := range 5 {
+					if dead[i] {
+						continue
+					}
+					r.URL = d.URL(i) + "/connection%20refused/order"
+					again, err := sender.Send(t.Context(), r)
+					if err == nil {
+						is.Equal(again, first) // the recorded answer
+						continue
+					}
+					refused, ok := err.(*sender.RefusedError)
+					is.True(ok)
+					is.Equal(refused.Outcome, pimento.OutcomeUnknown) // it ran, so NotRun would be false
+					is.True(len(dead) == 2)                           // one loss leaves a record
+				}
+				is.Equal(d.Runs()["order"], 1)
+			})
+		}
+	}
+}
+
+// TestDuplicateWhileRunning sends copies of an order at the same time through
+// all entries. All get the answer of the one that ran.
+func TestDuplicateWhileRunning(t *testing.T) {
+	is := is.New(t)
+	d := start(t, pimento.FencingUnchecked)
+	for _, u := range d.Upstreams {
+		u.Inject(upstreamfaker.Faults{Late: pimento.Span(200 * time.Millisecond)})
+	}
+	answers := make([]upstreamfaker.Answer, 10)
+	errs := make([]error, len(answers))
+	var wg sync.WaitGroup
+	for i := range answers {
+		wg.Go(func() {
+			answers[i], errs[i] = sender.Send(context.Background(), sender.Request{
+				Method: "POST", URL: d.URL(i%5) + "/connection%20refused/order", ID: "order", Body: []byte("crate"),
+			})
+		})
+	}
+	wg.Wait()
+	for i := range answers {
+		is.NoErr(errs[i])
+		is.Equal(answers[i], answers[0])
+	}
+	is.Equal(d.Runs()["order"], 1)
+}
+
+// TestDomainLeavesAndReturns takes a failure domain out under load. It gets no
+// new work once the configuration is in force, and work again afterwards.
+func TestDomainLeavesAndReturns(t *testing.T) {
+	is := is.New(t)
+	d := start(t, pimento.FencingChecked)
+	s := stream(d, 0, 1, 2, 3, 4)
+	time.Sleep(500 * time.Millisecond)
+	d.SetDomain("d1", pimento.StateOut)
+	apply(t, d)
+	time.Sleep(500 * time.Millisecond) // what was under way
+	before := d.RunsIn("d1")
+	time.Sleep(time.Second)
+	is.Equal(d.RunsIn("d1"), before) // no new work
+	d.SetDomain("d1", pimento.StateIn)
+	apply(t, d)
+	for deadline := time.Now().Add(readyTimeout); d.RunsIn("d1") == before; time.Sleep(10 * time.Millisecond) {
+		is.True(time.Now().Before(deadline)) // it gets work again
+	}
+	s.Stop()
+	t.Log(s.Summary())
+	is.Equal(s.Summary().Answered, s.Summary().Sent) // no failed request
+	is.NoErr(d.CheckRuns(s.OrderOutcomes()))
+	is.Equal(d.FellOver(), 0)
+}
+
+// TestRollingReplacement replaces all entry processes one by one under load.
+func TestRollingReplacement(t *testing.T) {
+	is := is.New(t)
+	d := start(t, pimento.FencingChecked)
+	for i := range 5 {
+		s := stream(d, (i+1)%5+5*((i+1)/5), (i+2)%5+5*((i+2)/5))
+		_, err := d.StartEntry(d.Entry(i).Process.Domain)
+		is.NoErr(err)
+		is.NoErr(d.Entry(i).Stop())
+		s.Stop()
+		t.Log(s.Summary())
+		is.Equal(s.Summary().Answered, s.Summary().Sent) // nothing is cut off
+		is.NoErr(d.CheckRuns(s.OrderOutcomes()))
+	}
+}
+
+// TestAllProcessesLost kills every entry process at once. New ones on other
+// addresses serve once the platform's list no longer has the old hosts.
+func TestAllProcessesLost(t *testing.T) {
+	is := is.New(t)
+	d := start(t, pimento.FencingChecked)
+	for i := range 5 {
+		d.Entry(i).Kill()
+	}
+	var hosts []pimento.HostName
+	for i := range 3 {
+		e, err := d.StartEntry(d.Config.Domains[i].Name)
+		is.NoErr(err)
+		hosts = append(hosts, e.Process.Host)
+	}
+	d.Platform.SetHosts(hosts)
+	is.NoErr(d.AwaitReady(1, readyTimeout))
+	_, err := sender.Send(t.Context(), sender.Request{Method: "GET", URL: d.URL(5) + "/TIMEOUT%20504/guide", Key: "soum-1"})
+	is.NoErr(err)
+}
--- a/claimer/simulation_test.go
+++ b/claimer/simulation_test.go
@@ -366,7 +366,7 @@
 		return
 	}
 	q := s.seats[to]
-	s.send(seat, to, func(now time.Time) {
+	s.send(seat, to, func(time.Time) {
 		s.claimStep(to, q)
 		a := q.claim.Asked(e.Ask)
 		s.send(to, seat, func(now time.Time) { p.claim.Answered(now, e.Ask, a) })
--- a/confirmer/machine.go
+++ b/confirmer/machine.go
@@ -110,9 +110,8 @@
 	if plan.Epoch <= m.plan.Epoch {
 		return false
 	}
-	m.forgetLapsed(now)
 	m.carried = m.AuthorityUntil()
-	m.addMark(plan.Epoch)
+	m.addMark(now, plan.Epoch)
 	old := m.heard
 	if !m.isConfirmer() {
 		old = nil // nobody had to ask this process so far
@@ -130,10 +129,10 @@
 	return true
 }
 
-// addMark begins the history of an epoch. A skipped epoch ends the history
-// before it, since another process may have taken rights up in between.
-func (m *Machine) addMark(epoch uint64) {
-	if epoch != m.plan.Epoch+1 || len(m.marks) >= maxMarks {
+// addMark begins the history of an epoch. A skipped epoch or a lapse ends the
+// history before it, since another process may have taken rights up meanwhile.
+func (m *Machine) addMark(now time.Time, epoch uint64) {
+	if epoch != m.plan.Epoch+1 || !now.Before(m.AuthorityUntil()) || len(m.marks) >= maxMarks {
 		m.marks = nil
 	}
 	m.marks = append(m.marks, mark{epoch: epoch})
--- a/deduper/book.go
+++ b/deduper/book.go
@@ -135,16 +135,22 @@
 	close(e.Done)
 }
 
-// Merge takes in records of another process. A final record goes before a
-// running one; what runs here stays.
+// Merge takes in records of other processes. What runs here stays, and an
+// answer goes before a record without one. Of two records without an answer
+// but with different witnesses neither witness can say that nothing ran, so
+// the merged record names none.
 func (b *Book) Merge(now time.Time, records []pimento.Record) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, r := range records {
-		if old, ok := b.entries[r.ID]; ok && now.Before(old.Record.Expires) {
+		old, ok := b.entries[r.ID]
+		if ok && now.Before(old.Record.Expires) {
 			if !isDone(old) || old.Record.State == pimento.RecordAnswered {
 				continue
 			}
+			if r.State != pimento.RecordAnswered && r.Witness != old.Record.Witness {
+				r.Witness = ""
+			}
 		}
 		r.Expires = now.Add(KeepFor)
 		e := &Entry{Record: r, Done: make(chan struct{})}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -12,6 +11,7 @@
 	"pimentorelay.example/pimento/assembler"
 	"pimentorelay.example/pimento/examples"
 	"pimentorelay.example/pimento/parser"
+	"pimentorelay.example/pimento/sender"
 	"pimentorelay.example/pimento/upstreamfaker"
 )
 
@@ -23,14 +23,14 @@
 	// leaveTime is when a failure domain must have no new work any more.
 	leaveTime = 2 * time.Second
 	outDomain = "ub-khanuul"
+	callers   = 8
 )
 
 // demo is one run.
 type demo struct {
 	started time.Time
 	d       *assembler.Deployment
-	config  pimento.Config
-	traffic *traffic
+	traffic *sender.Stream
 }
 
 func (m *demo) say(format string, args ...any) {
@@ -45,17 +45,16 @@
 	if err := m.eachEntry(); err != nil {
 		return err
 	}
-	m.traffic = &traffic{urls: []string{m.d.URL(0), m.d.URL(2)}}
-	m.traffic.start()
+	m.traffic = &sender.Stream{URLs: []string{m.d.URL(0), m.d.URL(2)}, Callers: callers, Keyed: "/guides/next", Orders: "/orders/new"}
+	m.traffic.Start()
 	steps := []func() error{m.loseUpstream, m.loseEntry, m.domainLeaves, m.domainReturns}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return err
 		}
 	}
-	m.traffic.stop()
-	m.say("%s", m.traffic)
-	return errors.Join(m.traffic.err(), m.checkRuns())
+	m.traffic.Stop()
+	return m.check()
 }
 
 // start starts everything and applies the sheet.
@@ -68,15 +67,14 @@
 	if err := m.d.Start(); err != nil {
 		return err
 	}
-	m.config = m.d.Config
-	m.say("platform, %d upstreams and 3 entry processes run", len(m.config.Servers))
+	m.say("platform, %d upstreams and 3 entry processes run", len(m.d.Config.Servers))
 	return m.apply()
 }
 
 // apply accepts the configuration and waits until it is in force.
 func (m *demo) apply() error {
 	at := time.Now()
-	version, err := m.d.Apply(context.Background(), m.config)
+	version, err := m.d.Apply(context.Background(), m.d.Config)
 	if err != nil {
 		return err
 	}
@@ -92,15 +90,15 @@
 	upload := bytes.Repeat([]byte("marble run "), uploadSize/11)
 	for i := range 3 {
 		url := m.d.URL(i)
-		browse, err := send("GET", url+"/TIMEOUT%20504/guide/7", "soum-17", "", nil)
+		browse, err := send(sender.Request{Method: "GET", URL: url + "/TIMEOUT%20504/guide/7", Key: "soum-17"})
 		if err != nil {
 			return err
 		}
-		order, err := send("POST", url+"/connection%20refused/order", "", "order-1", []byte("one crate of track pieces"))
+		order, err := send(sender.Request{Method: "POST", URL: url + "/connection%20refused/order", ID: "order-1", Body: []byte("one crate of track pieces")})
 		if err != nil {
 			return err
 		}
-		film, err := send("POST", url+"/uploads/run.mp4", "", fmt.Sprintf("film-%d", i), upload)
+		film, err := send(sender.Request{Method: "POST", URL: url + "/uploads/run.mp4", ID: fmt.Sprintf("film-%d", i), Body: upload})
 		if err != nil {
 			return err
 		}
@@ -109,14 +107,18 @@
 	return nil
 }
 
+func send(r sender.Request) (upstreamfaker.Answer, error) {
+	return sender.Send(context.Background(), r)
+}
+
 // loseUpstream lets an upstream vanish for a while.
 func (m *demo) loseUpstream() error {
-	name := m.config.Servers[2].Name
+	name := m.d.Config.Servers[2].Name
 	m.d.Upstreams[name].Inject(upstreamfaker.Faults{Down: true})
 	m.say("upstream %s is down", name)
 	time.Sleep(outageTime)
 	m.d.Upstreams[name].Inject(upstreamfaker.Faults{})
-	m.say("upstream %s is back; %s", name, m.traffic)
+	m.say("upstream %s is back; %s", name, m.traffic.Summary())
 	return nil
 }
 
@@ -129,80 +131,55 @@
 	if _, err := m.d.StartEntry(domain); err != nil {
 		return err
 	}
-	m.say("another entry process takes its place; %s", m.traffic)
+	m.say("another entry process takes its place; %s", m.traffic.Summary())
 	return nil
 }
 
 // domainLeaves takes a failure domain out and sees that it gets no new work.
 func (m *demo) domainLeaves() error {
-	m.setDomain(pimento.StateOut)
+	m.d.SetDomain(outDomain, pimento.StateOut)
 	if err := m.apply(); err != nil {
 		return err
 	}
 	time.Sleep(leaveTime)
-	before := m.runsIn(outDomain)
+	before := m.d.RunsIn(outDomain)
 	time.Sleep(outageTime)
-	if after := m.runsIn(outDomain); after != before {
+	if after := m.d.RunsIn(outDomain); after != before {
 		return fmt.Errorf("failure domain %s is out, but ran %d requests", outDomain, after-before)
 	}
-	m.say("failure domain %s is out and got no new work; %s", outDomain, m.traffic)
+	m.say("failure domain %s is out and got no new work; %s", outDomain, m.traffic.Summary())
 	return nil
 }
 
 func (m *demo) domainReturns() error {
-	before := m.runsIn(outDomain)
-	m.setDomain(pimento.StateIn)
+	before := m.d.RunsIn(outDomain)
+	m.d.SetDomain(outDomain, pimento.StateIn)
 	if err := m.apply(); err != nil {
 		return err
 	}
 	deadline := time.Now().Add(readyTimeout)
-	for m.runsIn(outDomain) == before {
+	for m.d.RunsIn(outDomain) == before {
 		if time.Now().After(deadline) {
 			return fmt.Errorf("failure domain %s is back, but gets no work", outDomain)
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
 	time.Sleep(outageTime)
-	m.say("failure domain %s is back and ran %d requests; %s", outDomain, m.runsIn(outDomain)-before, m.traffic)
+	m.say("failure domain %s is back and ran %d requests; %s", outDomain, m.d.RunsIn(outDomain)-before, m.traffic.Summary())
 	return nil
 }
 
-func (m *demo) setDomain(state pimento.State) {
-	for i := range m.config.Domains {
-		if m.config.Domains[i].Name == outDomain {
-			m.config.Domains[i].State = state
-		}
-	}
-}
-
-// runsIn counts the requests that upstreams of a failure domain have run.
-func (m *demo) runsIn(domain pimento.DomainName) int {
-	n := 0
-	for _, s := range m.config.Servers {
-		if m.config.DomainOf(s) == domain {
-			n += m.d.Upstreams[s.Name].Report().Runs
-		}
+// check sees that every answer was right, nothing was refused that could be
+// answered, and nothing non-idempotent ran twice.
+func (m *demo) check() error {
+	s := m.traffic.Summary()
+	m.say("%s", s)
+	if len(s.Wrong) > 0 || s.NotRun > 0 || s.Cut > 0 {
+		return fmt.Errorf("%d wrong answers (%v), %d cut, %d refused that could be answered", len(s.Wrong), s.Wrong, s.Cut, s.NotRun)
 	}
-	return n
-}
-
-// checkRuns sees that no non-idempotent request ran twice.
-func (m *demo) checkRuns() error {
-	runs := make(map[string]int)
-	fell := 0
-	for _, u := range m.d.Upstreams {
-		fell += u.Report().FellOver
-		for _, r := range u.Journal() {
-			if !r.Idempotent {
-				runs[r.ID]++
-			}
-		}
-	}
-	for id, n := range runs {
-		if n > 1 {
-			return fmt.Errorf("request %q ran %d times", id, n)
-		}
+	if err := m.d.CheckRuns(m.traffic.OrderOutcomes()); err != nil {
+		return err
 	}
-	m.say("%d non-idempotent requests ran once each; cold upstreams fell over %d times", len(runs), fell)
+	m.say("%d non-idempotent requests ran once each; cold upstreams fell over %d times", len(m.d.Runs()), m.d.FellOver())
 	return nil
 }
--- a/dispatcher/once.go
+++ b/dispatcher/once.go
@@ -12,7 +12,7 @@
 )
 
 // witnessTimeout bounds the update of a witness after a run.
-const witnessTimeout = time.Second
+const witnessTimeout = 100 * time.Millisecond
 
 // once is a non-idempotent request that may have come before.
 type once struct {
@@ -151,21 +151,18 @@
 	o.tellWitness()
 }
 
-// tellWitness sends the end of the request to its witness. A sender that is
-// the witness sees it by itself; one that misses it says Running, and a
-// duplicate then ends as Unknown.
+// tellWitness sends the end of the request to its witness before the caller
+// hears of it. A sender that is the witness sees it by itself; one that misses
+// it says Running, and a duplicate then ends as Unknown.
 func (o *once) tellWitness() {
 	if o.witness != pimento.WitnessNone {
 		return
 	}
-	record := o.entry.Record
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), witnessTimeout)
-		defer cancel()
-		if _, err := o.d.Witness(ctx, record); err != nil {
-			o.d.Events.Emit(pimento.EventRecordsLost, "Request", record.ID, "Cause", err)
-		}
-	}()
+	ctx, cancel := context.WithTimeout(context.Background(), witnessTimeout)
+	defer cancel()
+	if _, err := o.d.Witness(ctx, o.entry.Record); err != nil {
+		o.d.Events.Emit(pimento.EventRecordsLost, "Request", o.head.ID, "Cause", err)
+	}
 }
 
 // joinedBody reads from one place and closes another.
--- a/receiver/forward.go
+++ b/receiver/forward.go
@@ -34,7 +34,7 @@
 		stream = &once{Reader: body.Stream}
 		body.Stream = stream
 	}
-	pause, unknown := retryMin, 0
+	pause, unknown := minRetry, 0
 	for {
 		answer, err := r.try(ctx, head, body)
 		if err == nil {
@@ -53,7 +53,7 @@
 			return pimento.Answer{}, err
 		}
 		r.Meter.Retried(out.Reason)
-		pause = min(2*pause, retryMax)
+		pause = min(2*pause, maxRetry)
 	}
 }
 
@@ -64,7 +64,12 @@
 		pimento.ReasonQuarantined, pimento.ReasonBodyCut, pimento.ReasonShutdown:
 		return false
 	}
-	return out.Outcome == pimento.OutcomeNotRun || head.Idempotent
+	if out.Outcome == pimento.OutcomeNotRun || head.Idempotent {
+		return true
+	}
+	// A dispatcher that is gone has left a record, which its successor answers
+	// from: the same ID cannot run twice.
+	return out.Reason == pimento.ReasonPeerLost && head.CallerID
 }
 
 // sleep pauses with jitter and reports whether the deadline leaves time.
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -51,9 +51,9 @@
 	maxIDLength = 256
 	// maxKeyLength is the longest Relay-Key in bytes.
 	maxKeyLength = 1024
-	// retryMin and retryMax bound the pause between two tries.
-	retryMin = 5 * time.Millisecond
-	retryMax = 60 * time.Millisecond
+	// minRetry and maxRetry bound the pause between two tries.
+	minRetry = 5 * time.Millisecond
+	maxRetry = 60 * time.Millisecond
 	// configWait is how long a request waits for a process that cannot tell
 	// which configuration is in force.
 	configWait = 2 * time.Second
@@ -212,7 +212,7 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	for {
-		if config, ok := r.Router.Config(); ok || !sleep(ctx, retryMax) {
+		if config, ok := r.Router.Config(); ok || !sleep(ctx, maxRetry) {
 			return config, ok
 		}
 	}
--- a/runner/core.go
+++ b/runner/core.go
@@ -124,7 +124,9 @@
 	c.confirm.Withdraw(c.node.dispatcher.Lost())
 	c.publish()
 	c.noteAuthority(now)
-	for _, e := range c.claim.Step(now, c.confirm) {
+	effects := c.claim.Step(now, c.confirm)
+	c.mergeOwnRecords(now, effects)
+	for _, e := range effects {
 		c.carryOut(ctx, e)
 	}
 }
@@ -148,6 +150,23 @@
 	c.node.events.Emit(number, "Epoch", c.confirm.Epoch())
 }
 
+// mergeOwnRecords takes over the records of slices that were so far dispatched
+// elsewhere and witnessed here. They get another witness.
+func (c *core) mergeOwnRecords(now time.Time, effects []claimer.Effect) {
+	var taken []pimento.SliceID
+	for _, e := range effects {
+		if e.Kind == claimer.EffectTakeSlice {
+			taken = append(taken, e.Slice)
+		}
+	}
+	if len(taken) == 0 {
+		return
+	}
+	n := c.node
+	n.book.Merge(now, n.witnessed.Select(now, inSlices(c.plans, taken)))
+	go n.replaceWitness(n.self.ID)
+}
+
 func (c *core) carryOut(ctx context.Context, e claimer.Effect) {
 	d := c.node.dispatcher
 	switch e.Kind {
@@ -235,10 +254,10 @@
 			continue
 		}
 		go c.node.carrier.Forget(p.ID)
+		go c.node.replaceWitness(p.ID)
 		if p.Leaving || c.leavings[p.ID] {
 			continue
 		}
-		go c.node.replaceWitness(p.ID)
 		c.gone = append(c.gone, departure{domain: p.Domain, at: now})
 	}
 	c.gone = slices.DeleteFunc(c.gone, func(d departure) bool { return now.Sub(d.at) > repairTime })
--- a/runner/node.go
+++ b/runner/node.go
@@ -48,6 +48,9 @@
 const (
 	// shutdownGrace bounds a graceful shutdown.
 	shutdownGrace = 60 * time.Second
+	// lingerTime is how long a process stays after its handover, so that the
+	// others can gather its request records.
+	lingerTime = time.Second
 	// headerTimeout bounds how long a caller may take to send its headers.
 	headerTimeout = 5 * time.Second
 	// keepAliveTimeout is how long an idle caller connection is kept.
@@ -245,6 +248,7 @@
 	for !n.core.handedOver() && ctx.Err() == nil {
 		time.Sleep(heartbeatPause)
 	}
+	time.Sleep(lingerTime)
 	server := n.callerServer.Load()
 	if server == nil {
 		return
--- a/runner/peers.go
+++ b/runner/peers.go
@@ -92,12 +92,16 @@
 	if len(gather) == 0 {
 		return nil
 	}
-	now := time.Now()
-	match := func(r *pimento.Record) bool {
+	now, match := time.Now(), inSlices(plan, gather)
+	return append(n.book.Select(now, match), n.witnessed.Select(now, match)...)
+}
+
+// inSlices matches the records of slices.
+func inSlices(plan *pimento.Plan, list []pimento.SliceID) func(*pimento.Record) bool {
+	return func(r *pimento.Record) bool {
 		id, ok := plan.Lookup(r.Slice.Service, r.KeyHash)
-		return ok && slices.Contains(gather, id)
+		return ok && slices.Contains(list, id)
 	}
-	return append(n.book.Select(now, match), n.witnessed.Select(now, match)...)
 }
 
 // CurrentPlan implements carrier.Handler.
