Ask each new connection which run of the upstream it reaches

Ruled out: lowering the limit sooner; the requests were already admitted.

Conclusion: a new connection is first asked for the upstream's health, and a run that is not the known one ends all requests of the earlier run. A restart that keeps its connections and shows nothing cannot be noticed beforehand.

--- a/assembler/deployment.go
+++ b/assembler/deployment.go
@@ -122,7 +122,7 @@
 			Checked: service.Fencing == pimento.FencingChecked,
 		}
 		faker.Start()
-		address, err := d.serve(&http.Server{Handler: faker.Handler(), ConnState: faker.TrackConn})
+		address, err := d.serve(faker.HTTP())
 		if err != nil {
 			return err
 		}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -28,6 +28,10 @@
 	"pimentorelay.example/pimento/recorder"
 )
 
+// Connect returns the client of an upstream. The client calls verify with what
+// the upstream says of itself on each new connection for requests.
+type Connect func(server pimento.Server, verify func(pimento.GrantAnswer) error) pimento.Upstream
+
 // Dispatcher is the lanes of one process. Set the exported fields before Run.
 type Dispatcher struct {
 	Self   pimento.ProcessID
@@ -37,9 +41,8 @@
 	// Authority returns the end of this process's authority.
 	Authority func() time.Time
 	// Plan returns the plan in force here.
-	Plan func() *pimento.Plan
-	// Connect returns the client of an upstream.
-	Connect func(pimento.Server) pimento.Upstream
+	Plan    func() *pimento.Plan
+	Connect Connect
 	// Witness lets a process in another failure domain keep a record, where
 	// there is one, and returns which. A record without a state is to be
 	// forgotten.
@@ -129,7 +132,7 @@
 	if d.lanes == nil {
 		d.lanes = make(map[pimento.UpstreamName]*lane)
 	}
-	l := newLane(d, s, d.Connect(s))
+	l := newLane(d, s)
 	d.lanes[s.Name] = l
 	if d.ctx != nil {
 		d.start(l)
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -130,6 +130,7 @@
 		j.counted = true
 	}
 	l.rate.add(now)
+	l.jobs[j] = true
 	j.started = now
 	return l.fence, nil
 }
@@ -153,6 +154,7 @@
 	if doubtful {
 		l.doubts = append(l.doubts, doubt{hash: j.head.KeyHash, until: j.head.Deadline})
 	}
+	delete(l.jobs, j)
 	if j.counted {
 		j.hold.inFlight--
 	}
--- a/dispatcher/lane.go
+++ b/dispatcher/lane.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"slices"
 	"sync"
@@ -67,6 +68,7 @@
 	holds     map[pimento.SliceID]*hold
 	limit     *limiter.Machine
 	waiters   map[uint64]chan struct{}
+	jobs      map[*job]bool // that were admitted
 	nextID    uint64
 	boot      string
 	clock     time.Duration // the upstream's clock at clockAt, or earlier
@@ -79,15 +81,36 @@
 	rate      meter
 }
 
-func newLane(d *Dispatcher, server pimento.Server, client pimento.Upstream) *lane {
-	return &lane{
-		d: d, server: server, client: client,
+func newLane(d *Dispatcher, server pimento.Server) *lane {
+	l := &lane{
+		d: d, server: server,
 		wake:    make(chan struct{}, 1),
 		holds:   make(map[pimento.SliceID]*hold),
 		waiters: make(map[uint64]chan struct{}),
+		jobs:    make(map[*job]bool),
 		limit:   limiter.New(server.Slots),
 		heardAt: time.Now(),
 	}
+	l.client = d.Connect(server, l.verify)
+	return l
+}
+
+// errRestarted is the cause where a new connection reached another run of the
+// upstream than the one that was known.
+var errRestarted = errors.New("the upstream has restarted")
+
+// verify accepts a new connection if it reaches the known run.
+func (l *lane) verify(a pimento.GrantAnswer) error {
+	l.mu.Lock()
+	same := l.boot == "" || l.boot == a.Boot
+	l.mu.Unlock()
+	if same {
+		return nil
+	}
+	if l.heard(time.Now(), a) {
+		l.nudge()
+	}
+	return errRestarted
 }
 
 func (l *lane) nudge() {
@@ -204,6 +227,9 @@
 	if restarted {
 		l.limit.Cold()
 		l.doubts = nil
+		for j := range l.jobs { // their connections ended with the earlier run
+			j.cancel()
+		}
 	}
 	l.boot, l.clock, l.clockAt = a.Boot, a.Clock, now
 	l.heardAt, l.failures = now, 0
--- a/requester/client.go
+++ b/requester/client.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	client := &requester.Client{Name: "partsdesk-3", Address: addr}
+//	client := requester.New(server, verify)
 //	answer, err := client.Serve(ctx, head, fence, body)
 //
 // An error of Serve is an *pimento.OutcomeError: NotRun where the request
@@ -12,6 +12,7 @@
 package requester
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -37,6 +38,8 @@
 	connectTimeout = 500 * time.Millisecond
 	// idleTimeout is how long an unused connection is kept.
 	idleTimeout = time.Minute
+	// controlConnections is the most connections for grants and probes.
+	controlConnections = 2
 	// maxControlSize is the largest control answer in bytes.
 	maxControlSize = 1 << 20
 )
@@ -45,18 +48,73 @@
 type Client struct {
 	Name    pimento.UpstreamName
 	Address netip.AddrPort
-	HTTP    *http.Client // nil: NewHTTP with the default of connections
+
+	verify   func(pimento.GrantAnswer) error
+	requests *http.Client
+	controls *http.Client
 }
 
 var _ pimento.Upstream = (*Client)(nil)
 
-// NewHTTP returns an HTTP client that holds at most the given number of
-// connections to each upstream.
-func NewHTTP(connections int) *http.Client {
+// New returns a client that holds at most the given number of connections for
+// requests. Each new one is first asked for the upstream's health, and used
+// only if verify accepts the answer. A connection does not outlive the run of
+// the upstream, so no request reaches a run that was not accepted.
+func New(server pimento.Server, verify func(pimento.GrantAnswer) error) *Client {
+	c := &Client{Name: server.Name, Address: server.Address, verify: verify}
 	dialer := &net.Dialer{Timeout: connectTimeout}
+	c.controls = newHTTP(controlConnections, dialer.DialContext)
+	c.requests = newHTTP(server.Connections, func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		if err := c.inspect(conn); err != nil {
+			conn.Close()
+			return nil, err
+		}
+		return conn, nil
+	})
+	return c
+}
+
+// inspect asks for the upstream's health on a new connection.
+func (c *Client) inspect(conn net.Conn) error {
+	if err := conn.SetDeadline(time.Now().Add(connectTimeout)); err != nil {
+		return err
+	}
+	req, err := http.NewRequest(http.MethodGet, c.base()+"/health", nil)
+	if err != nil {
+		return err
+	}
+	if err := req.Write(conn); err != nil {
+		return err
+	}
+	res, err := http.ReadResponse(bufio.NewReader(conn), req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxControlSize))
+	if err != nil {
+		return err
+	}
+	var answer pimento.GrantAnswer
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return err
+	}
+	if err := c.verify(answer); err != nil {
+		return err
+	}
+	return conn.SetDeadline(time.Time{})
+}
+
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+func newHTTP(connections int, dial dialFunc) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         dial,
 			MaxConnsPerHost:     connections,
 			MaxIdleConnsPerHost: connections,
 			IdleConnTimeout:     idleTimeout,
@@ -68,9 +126,6 @@
 	}
 }
 
-// Close drops idle connections.
-func (c *Client) Close() { c.HTTP.CloseIdleConnections() }
-
 // Grant implements pimento.Upstream.
 func (c *Client) Grant(ctx context.Context, grant pimento.Grant) (pimento.GrantAnswer, error) {
 	var out pimento.GrantAnswer
@@ -120,7 +175,7 @@
 	if err != nil {
 		return err
 	}
-	res, err := c.HTTP.Do(req.WithContext(ctx))
+	res, err := c.controls.Do(req.WithContext(ctx))
 	if err != nil {
 		return &pimento.UnreachableError{Target: string(c.Name), Cause: err}
 	}
@@ -144,7 +199,7 @@
 	if err != nil {
 		return pimento.Answer{}, pimento.NotRun(pimento.ReasonBadRequest, err.Error())
 	}
-	res, err := c.HTTP.Do(req)
+	res, err := c.requests.Do(req)
 	if err != nil && !sent.Load() {
 		return pimento.Answer{}, pimento.NotRun(pimento.ReasonUpstreamLost, err.Error())
 	}
--- a/runner/node.go
+++ b/runner/node.go
@@ -77,7 +77,7 @@
 	Log      hclog.Logger
 	Timing   confirmer.Timing
 	// Connect returns the client of an upstream; nil: over HTTP.
-	Connect func(pimento.Server) pimento.Upstream
+	Connect dispatcher.Connect
 	// Started is called once with the process as it was registered; nil: not.
 	Started func(pimento.Process)
 
@@ -195,8 +195,8 @@
 	return l, l.Addr().(*net.TCPAddr).AddrPort(), nil
 }
 
-func connect(s pimento.Server) pimento.Upstream {
-	return &requester.Client{Name: s.Name, Address: s.Address, HTTP: requester.NewHTTP(s.Connections)}
+func connect(s pimento.Server, verify func(pimento.GrantAnswer) error) pimento.Upstream {
+	return requester.New(s, verify)
 }
 
 func (n *Node) closeListeners() {
--- a/standin/upstreams.go
+++ b/standin/upstreams.go
@@ -78,7 +78,8 @@
 		service, _ := config.Service(s.Service)
 		faker := &upstreamfaker.Server{Name: s.Name, Slots: s.Slots, Work: work, Checked: service.Fencing == pimento.FencingChecked}
 		faker.Start()
-		server := &http.Server{Addr: s.Address.String(), Handler: faker.Handler(), ConnState: faker.TrackConn, ReadHeaderTimeout: headerTimeout}
+		server := faker.HTTP()
+		server.Addr = s.Address.String()
 		context.AfterFunc(ctx, func() { server.Close() })
 		go func() { ended <- server.ListenAndServe() }()
 		served++
--- a/upstreamfaker/serve.go
+++ b/upstreamfaker/serve.go
@@ -66,6 +66,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if boot, ok := r.Context().Value(bootKey{}).(string); ok && boot != s.boot {
+		panic(http.ErrAbortHandler)
+	}
 	if s.Checked && !s.allowed(fence, hash) {
 		s.report.Rejected++
 		refuse(w, http.StatusPreconditionFailed, "no valid grant covers this request")
--- a/upstreamfaker/server.go
+++ b/upstreamfaker/server.go
@@ -11,7 +11,7 @@
 //
 //	server := &upstreamfaker.Server{Name: "guidebook-1", Slots: 4, Checked: true}
 //	server.Start()
-//	go http.Serve(listener, server.Handler())
+//	go server.HTTP().Serve(listener)
 //	server.Inject(upstreamfaker.Faults{Freeze: true})
 //
 // The journal lists every run, so that a test can count them and see whether
@@ -38,6 +38,8 @@
 	runsPerWarmth = 8
 	// maxJournal bounds the number of runs that are kept.
 	maxJournal = 1 << 20
+	// headerTimeout bounds the reading of a request's headers.
+	headerTimeout = 5 * time.Second
 	// freezePoll is how often a frozen handler looks whether it may go on.
 	freezePoll = 5 * time.Millisecond
 )
@@ -120,9 +122,22 @@
 	}
 }
 
-// TrackConn is the ConnState hook of the HTTP server, so that a restart closes
-// all connections as that of a process does.
-func (s *Server) TrackConn(c net.Conn, state http.ConnState) {
+// bootKey is the key of the boot in which a connection was made.
+type bootKey struct{}
+
+// HTTP returns a server for the stand-in whose connections end with each
+// restart, as those of a process do.
+func (s *Server) HTTP() *http.Server {
+	return &http.Server{
+		Handler: s.Handler(), ReadHeaderTimeout: headerTimeout, ConnState: s.track,
+		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+			return context.WithValue(ctx, bootKey{}, s.Report().Boot)
+		},
+	}
+}
+
+// track keeps the open connections.
+func (s *Server) track(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
@@ -194,7 +209,7 @@
 func (s *Server) alive(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.thaw()
-		if s.isDown() {
+		if boot, ok := r.Context().Value(bootKey{}).(string); s.isDown() || ok && boot != s.Report().Boot {
 			panic(http.ErrAbortHandler)
 		}
 		next(w, r)
