--- a/planner/planner.go
+++ b/planner/planner.go
@@ -35,6 +35,9 @@
 	slicesUnkeyed = 64
 	// maxShare is the load over its share at which an upstream gives slices up.
 	maxShare = 1.10
+	// minShare is the load over its share below which an upstream that could
+	// take more is given slices.
+	minShare = 0.85
 	// movesPerPlan bounds the slices that move in one plan for balance.
 	movesPerPlan = 8
 	// baseWeight is the weight of a slice without requests, in requests a
--- a/planner/table.go
+++ b/planner/table.go
@@ -31,6 +31,7 @@
 	service pimento.Service
 	shares  []*share
 	slices  []pimento.Slice
+	orphans []*pimento.Slice
 }
 
 // table returns the next table of a service.
@@ -94,32 +95,51 @@
 	return b.shares[i]
 }
 
-// keepOwners drops owners that may not have the slice. The first that is left
-// becomes the owner.
+// keepOwners drops owners that may not have the slice. The owner of a slice
+// whose owner was lost is the first that is left, since it stands by and may
+// have taken over already. Slices whose owner goes by plan become orphans.
 func (b *builder) keepOwners() {
 	for i := range b.slices {
 		s := &b.slices[i]
+		planned := len(s.Owners) > 0 && b.share(s.Owners[0]) == nil && !b.isLost(s.Owners[0])
 		s.Owners = slices.DeleteFunc(s.Owners, func(name pimento.UpstreamName) bool { return b.share(name) == nil })
-		if len(s.Owners) > 0 {
+		if planned {
+			b.orphans = append(b.orphans, s)
+		} else if len(s.Owners) > 0 {
 			b.give(s, b.share(s.Owners[0]))
+		} else {
+			b.orphans = append(b.orphans, s)
 		}
 	}
 }
 
+func (b *builder) isLost(name pimento.UpstreamName) bool {
+	r, known := b.in.Reports[name]
+	return known && r.Condition == pimento.ConditionLost
+}
+
 func (b *builder) give(s *pimento.Slice, to *share) {
 	to.weight += b.weight(s)
 }
 
-// placeOrphans gives slices without an owner to the least loaded.
+// placeOrphans gives each orphan to the least loaded of its standbys, or of
+// all upstreams where the standbys would bear more than their share.
 func (b *builder) placeOrphans() {
+	total, capacity := 0.0, 0.0
 	for i := range b.slices {
-		s := &b.slices[i]
-		if len(s.Owners) > 0 {
-			continue
-		}
+		total += b.weight(&b.slices[i])
+	}
+	for _, x := range b.shares {
+		capacity += x.capacity
+	}
+	for _, s := range b.orphans {
 		w := b.weight(s)
-		to, _ := least(b.shares, func(x *share) (float64, bool) { return x.over(w), true })
-		s.Owners = []pimento.UpstreamName{to.server.Name}
+		cost := func(x *share) (float64, bool) { return x.over(w), slices.Contains(s.Owners, x.server.Name) }
+		to, ok := least(b.shares, cost)
+		if !ok || to.over(w) > total/capacity {
+			to, _ = least(b.shares, func(x *share) (float64, bool) { return x.over(w), true })
+		}
+		s.Owners = append([]pimento.UpstreamName{to.server.Name}, without(s.Owners, to.server.Name)...)
 		b.give(s, to)
 	}
 }
@@ -132,7 +152,9 @@
 	for range movesPerPlan {
 		mean := b.mean()
 		from, _ := least(b.shares, func(x *share) (float64, bool) { return -x.over(0), true })
-		if from.over(0) <= mean*maxShare || !b.moveOne(from, mean) {
+		idle, ok := least(b.shares, func(x *share) (float64, bool) { return x.over(0), x.takes(baseWeight, mean) })
+		uneven := from.over(0) > mean*maxShare || ok && idle.over(0) < mean*minShare
+		if !uneven || !b.moveOne(from, mean) {
 			return
 		}
 	}
