--- a/runner/core.go
+++ b/runner/core.go
@@ -49,6 +49,7 @@
 	hadRight bool
 	excluded chan struct{}
 	gone     []departure
+	dropped  map[pimento.ProcessID]bool // in this epoch
 
 	current atomic.Pointer[view]
 	reports atomic.Pointer[map[pimento.UpstreamName]sighting]
@@ -77,6 +78,7 @@
 		leavings: make(map[pimento.ProcessID]bool),
 		loads:    make(map[pimento.SliceID]sliceRate),
 		excluded: make(chan struct{}),
+		dropped:  make(map[pimento.ProcessID]bool),
 	}
 	c.current.Store(&view{plan: c.plans})
 	c.reports.Store(&map[pimento.UpstreamName]sighting{})
@@ -125,6 +127,7 @@
 	c.confirm.Withdraw(c.node.dispatcher.Lost())
 	c.publish()
 	c.noteAuthority(now)
+	c.dropWithdrawn()
 	effects := c.claim.Step(now, c.confirm)
 	c.mergeOwnRecords(now, effects)
 	for _, e := range effects {
@@ -137,6 +140,18 @@
 	c.current.Store(&view{plan: c.plans, withdrawn: c.confirm.Withdrawn(), until: c.confirm.AuthorityUntil()})
 }
 
+// dropWithdrawn closes the connections to processes that were withdrawn in
+// this epoch, so that requests on their way there end at once.
+func (c *core) dropWithdrawn() {
+	for _, id := range c.confirm.Withdrawn().Processes {
+		if !c.dropped[id] {
+			c.dropped[id] = true
+			c.node.events.Emit(pimento.EventProcessSuspected, "Process", id, "Epoch", c.plans.Epoch)
+			go c.node.carrier.Forget(id)
+		}
+	}
+}
+
 // noteAuthority records when authority is gained or lost.
 func (c *core) noteAuthority(now time.Time) {
 	has := now.Before(c.confirm.AuthorityUntil())
@@ -211,6 +226,7 @@
 	c.publish()
 	c.node.remember(plan.Processes)
 	c.node.events.Emit(pimento.EventPlanLearned, "Epoch", plan.Epoch, "Writer", plan.Writer, "ConfigVersion", plan.ConfigVersion)
+	clear(c.dropped)
 	c.forgetHellos(&plan)
 	c.noteDepartures(now, old, &plan)
 	c.watchUpstreams(&plan)
