Dial a lost peer once for all who wait, and pause after uncertain writes

Cause: after the loss of a dispatcher with the platform down, 48 requests dialed the dead process one after the other under the link's lock, half a second each; standby leaders wrote the plan again every 50 ms.

Ruled out: the takeover (no right was waited for 3 s after the loss).

Conclusion: a failed dial answers for all that waited for it.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -32,7 +32,8 @@
 )
 
 const (
-	dialTimeout     = 500 * time.Millisecond
+	dialTimeout     = 250 * time.Millisecond
+	redialPause     = 100 * time.Millisecond
 	idleTimeout     = 5 * time.Second
 	keepAlive       = time.Second
 	maxStreams      = 1 << 14
--- a/carrier/link.go
+++ b/carrier/link.go
@@ -16,10 +16,11 @@
 
 // link is one connection to a peer with its pool of idle streams.
 type link struct {
-	mu     sync.Mutex
-	conn   *quic.Conn
-	idle   []*quic.Stream
-	closed bool
+	mu       sync.Mutex
+	conn     *quic.Conn
+	idle     []*quic.Stream
+	closed   bool
+	redialAt time.Time // no dial before, after one that failed
 }
 
 func (l *link) close() {
@@ -60,6 +61,19 @@
 // stream takes an idle stream to a peer, or opens one.
 func (c *Carrier) stream(ctx context.Context, peer pimento.Process, lane lane) (*link, *quic.Stream, error) {
 	l := c.link(peer.ID, lane)
+	conn, s, err := c.take(ctx, l, peer)
+	if err != nil || s != nil {
+		return l, s, err
+	}
+	s, err = conn.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, nil, &pimento.UnreachableError{Target: string(peer.ID), Cause: err}
+	}
+	return l, s, nil
+}
+
+// take returns an idle stream of a link, or the connection to open one on.
+func (c *Carrier) take(ctx context.Context, l *link, peer pimento.Process) (*quic.Conn, *quic.Stream, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conn != nil && l.conn.Context().Err() != nil {
@@ -68,29 +82,33 @@
 	if n := len(l.idle); n > 0 {
 		s := l.idle[n-1]
 		l.idle = l.idle[:n-1]
-		return l, s, nil
+		return l.conn, s, nil
 	}
 	if l.conn == nil {
 		if err := c.dial(ctx, l, peer); err != nil {
 			return nil, nil, err
 		}
 	}
-	s, err := l.conn.OpenStreamSync(ctx)
-	if err != nil {
-		return nil, nil, &pimento.UnreachableError{Target: string(peer.ID), Cause: err}
-	}
-	return l, s, nil
+	return l.conn, nil, nil
 }
 
-// dial connects a link. The caller holds l.mu.
+// errNotRedialed is the cause where a peer was found unreachable just before.
+var errNotRedialed = errors.New("the last dial failed")
+
+// dial connects a link. The caller holds l.mu. Those that waited for a dial
+// that failed do not each dial again.
 func (c *Carrier) dial(ctx context.Context, l *link, peer pimento.Process) error {
 	if l.closed {
 		return &pimento.UnreachableError{Target: string(peer.ID), Cause: net.ErrClosed}
 	}
+	if time.Now().Before(l.redialAt) {
+		return &pimento.UnreachableError{Target: string(peer.ID), Cause: errNotRedialed}
+	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, err := c.transport.Dial(ctx, net.UDPAddrFromAddrPort(peer.Peer), c.Identity.clientTLS(peer), quicConfig())
 	if err != nil {
+		l.redialAt = time.Now().Add(redialPause)
 		return &pimento.UnreachableError{Target: string(peer.ID), Cause: err}
 	}
 	l.conn = conn
--- a/runner/leader.go
+++ b/runner/leader.go
@@ -25,6 +25,8 @@
 	// standbyDelay is how much longer each further candidate waits before it
 	// writes a plan in place of those before it.
 	standbyDelay = 2 * time.Second
+	// uncertainPause is the time after a write without an answer.
+	uncertainPause = 500 * time.Millisecond
 	// writeTimeout bounds the write of a plan.
 	writeTimeout = 3 * time.Second
 )
@@ -230,6 +232,7 @@
 	default:
 		l.node.events.Emit(pimento.EventPlanUncertain, "Epoch", next.Epoch, "Cause", err)
 		l.readBack(ctx)
+		pause(ctx, uncertainPause)
 	}
 }
 
