Follow a change of confirmers by a plan that needs the old ones no more

Ruled out: lost heartbeats; the two confirmed by majority saw each other.

Conclusion: joint majorities last only until the plan is in force, as in joint consensus; one more write for each change of confirmers.

--- a/planner/planner.go
+++ b/planner/planner.go
@@ -91,8 +91,10 @@
 			return s.Start == t.Start && slices.Equal(s.Owners, t.Owners)
 		})
 	})
+	// A plan whose prior confirmers are others is followed by one where they
+	// are the same, so that those who have left are needed no more.
 	return a.ConfigVersion != b.ConfigVersion || !sameProcesses || !sameDispatchers || !sameTables ||
-		!slices.Equal(a.Confirmers, b.Confirmers)
+		!slices.Equal(a.Confirmers, b.Confirmers) || !slices.Equal(a.PriorConfirmers, a.Confirmers)
 }
 
 // processes lists what lives, in the order of the prior plan, new ones last.
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -132,6 +133,9 @@
 		if err := plan.Validate(); err != nil {
 			t.Fatal(err)
 		}
+		if !slices.Equal(plan.PriorConfirmers, plan.Confirmers) {
+			t.Fatalf("prior confirmers %v are still needed besides %v", plan.PriorConfirmers, plan.Confirmers)
+		}
 		for _, s := range plan.Services[0].Slices {
 			server, _ := in.Config.Server(s.Owners[0])
 			if !in.Config.Eligible(server) {
