--- a/claimer/machine_test.go
+++ b/claimer/machine_test.go
@@ -1,6 +1,7 @@
 package claimer
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -183,3 +184,25 @@
 	is.True(!m.Idle())
 	is.True(took(m.Step(now.Add(time.Minute), a), EffectStopSlice))
 }
+
+// BenchmarkStep is the cost of one step of a process that holds so many
+// slices. docs/CAPACITY.md uses the slope.
+func BenchmarkStep(b *testing.B) {
+	for _, n := range []int{128, 1024, 8192} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			now := time.Unix(1_700_000_000, 0)
+			a := &fakeAuthority{until: now.Add(time.Hour)}
+			p := twoProcesses(2, "a", "b")
+			p.Processes = p.Processes[:1]
+			p.Services[0].Slices = nil
+			for i := range n {
+				p.Services[0].Slices = append(p.Services[0].Slices, pimento.Slice{Start: uint64(i), Owners: []pimento.UpstreamName{"u", "v"}})
+			}
+			m := New("a")
+			m.Learn(p)
+			for b.Loop() {
+				m.Step(now, a)
+			}
+		})
+	}
+}
--- a/confirmer/machine_test.go
+++ b/confirmer/machine_test.go
@@ -1,6 +1,7 @@
 package confirmer
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -232,3 +233,22 @@
 	is.True(m.InForce(func(id pimento.ProcessID) bool { return id == "d" || id == "e" }))
 	is.True(learned(2, "abcde", "").InForce(nobody)) // all prior confirmers have ended
 }
+
+// BenchmarkAsk is the cost of one confirmation, for a plan of so many
+// processes. docs/CAPACITY.md uses the slope.
+func BenchmarkAsk(b *testing.B) {
+	for _, n := range []int{9, 90, 830} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p := plan(2, "abc", "abc")
+			for i := range n {
+				p.Processes = append(p.Processes, pimento.Process{ID: pimento.ProcessID(fmt.Sprint(i))})
+			}
+			m := New("a", timing)
+			m.Learn(at(0), p)
+			ask := pimento.ConfirmAsk{From: pimento.ProcessID(fmt.Sprint(n - 1)), Epoch: 2}
+			for b.Loop() {
+				m.Ask(at(10), ask)
+			}
+		})
+	}
+}
--- a/deduper/book_test.go
+++ b/deduper/book_test.go
@@ -1,6 +1,7 @@
 package deduper
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -80,3 +81,16 @@
 	is.Equal(b.Read(e).State, pimento.RecordRunning)
 	b.Finish(e, pimento.RecordUnknown, pimento.AnswerHead{}, nil)
 }
+
+// BenchmarkBegin is the cost of one record, entered and finished.
+func BenchmarkBegin(b *testing.B) {
+	book := &Book{}
+	body := make([]byte, 200)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		e, state := book.Begin(now, pimento.Record{ID: strconv.Itoa(i % (maxRecords / 2))})
+		if state == Fresh {
+			book.Finish(e, pimento.RecordAnswered, pimento.AnswerHead{Status: 200}, body)
+		}
+	}
+}
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
@@ -162,3 +163,22 @@
 	}
 	return true
 }
+
+// BenchmarkNext is the cost of the next plan, and the size of its object, for
+// so many upstreams. docs/CAPACITY.md uses the slopes.
+func BenchmarkNext(b *testing.B) {
+	for _, n := range []int{17, 68, 272} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			in := deployment(5, n, n)
+			plan, _ := settle(&in)
+			data, err := json.Marshal(plan)
+			if err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				Next(in)
+			}
+			b.ReportMetric(float64(len(data)), "bytes/plan")
+		})
+	}
+}
--- a/receiver/forward.go
+++ b/receiver/forward.go
@@ -13,7 +13,7 @@
 
 // maxUnknown is how often an idempotent request may be sent again after a try
 // that may have run.
-const maxUnknown = 3
+const maxUnknown = 8
 
 // once reads a streamed body and notes whether any of it was read.
 type once struct {
