--- a/event.go
+++ b/event.go
@@ -17,7 +17,6 @@
 	EventPlanWritten      EventNumber = 2002
 	EventPlanConflict     EventNumber = 2003
 	EventPlanUncertain    EventNumber = 2004
-	EventConfigAccepted   EventNumber = 2005
 	EventConfigInvalid    EventNumber = 2006
 	EventPlatformLost     EventNumber = 2007
 	EventPlatformBack     EventNumber = 2008
@@ -34,7 +33,6 @@
 	EventUpstreamBack     EventNumber = 5002
 	EventUpstreamRestart  EventNumber = 5003
 	EventRecordsLost      EventNumber = 5004
-	EventQuarantined      EventNumber = 5005
 	EventRequestUnknown   EventNumber = 6001
 	EventRequestNotRun    EventNumber = 6002
 )
@@ -51,7 +49,6 @@
 	EventPlanWritten:      "plan written",
 	EventPlanConflict:     "plan was written by another process",
 	EventPlanUncertain:    "plan write gave no answer",
-	EventConfigAccepted:   "configuration taken into the plan",
 	EventConfigInvalid:    "configuration in the platform is not valid",
 	EventPlatformLost:     "platform gives no answer",
 	EventPlatformBack:     "platform answers again",
@@ -68,7 +65,6 @@
 	EventUpstreamBack:     "upstream answers again",
 	EventUpstreamRestart:  "upstream has restarted",
 	EventRecordsLost:      "request records may be lost",
-	EventQuarantined:      "request quarantined",
 	EventRequestUnknown:   "request ended with unknown outcome",
 	EventRequestNotRun:    "request was not run",
 }
--- a/limiter/machine.go
+++ b/limiter/machine.go
@@ -150,9 +150,6 @@
 	return m.work * time.Duration(m.queued+1) / time.Duration(m.limit)
 }
 
-// Wait returns the estimated wait of a request that arrives now.
-func (m *Machine) Wait() time.Duration { return m.wait() }
-
 // Done ends a run that took the given time and returns the requests that
 // start in its place.
 func (m *Machine) Done(now time.Time, c pimento.Class, result Result, took time.Duration) []uint64 {
--- a/receiver/forward.go
+++ b/receiver/forward.go
@@ -61,7 +61,7 @@
 func retriable(out *pimento.OutcomeError, head *pimento.RequestHead) bool {
 	switch out.Reason {
 	case pimento.ReasonBadRequest, pimento.ReasonNoRoute, pimento.ReasonQueueFull, pimento.ReasonTimeout,
-		pimento.ReasonQuarantined, pimento.ReasonBodyCut, pimento.ReasonShutdown:
+		pimento.ReasonBodyCut:
 		return false
 	}
 	if out.Outcome == pimento.OutcomeNotRun || head.Idempotent {
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -159,8 +159,6 @@
 		return http.StatusBadRequest
 	case out.Reason == pimento.ReasonNoRoute:
 		return http.StatusNotFound
-	case out.Reason == pimento.ReasonQuarantined:
-		return http.StatusUnprocessableEntity
 	case out.Outcome == pimento.OutcomeNotRun:
 		return http.StatusServiceUnavailable
 	case out.Reason == pimento.ReasonTimeout:
--- a/request.go
+++ b/request.go
@@ -35,12 +35,10 @@
 	ReasonRefused       Reason = "Refused"
 	ReasonQueueFull     Reason = "QueueFull"
 	ReasonTimeout       Reason = "Timeout"
-	ReasonQuarantined   Reason = "Quarantined"
 	ReasonRecordLost    Reason = "RecordLost"
 	ReasonAnswerNotKept Reason = "AnswerNotKept"
 	ReasonBodyCut       Reason = "BodyCut"
 	ReasonWrongAnswer   Reason = "WrongAnswer"
-	ReasonShutdown      Reason = "Shutdown"
 )
 
 // Class orders requests that wait for the same upstream.
