Probe an upstream while its right is still waited for

Cause: after the loss of a whole failure domain a standby dispatcher found out only after its takeover that the upstream had been lost too.

Ruled out: a shorter lease (unchanged); the order of the two waits was it.

Conclusion: whoever is to have the right probes at once; probes cost the upstream nothing that its later dispatcher would not spend.

--- a/claimer/machine.go
+++ b/claimer/machine.go
@@ -301,6 +301,19 @@
 	return !listed || silent
 }
 
+// Wanted returns the upstreams that this process has the right to, now or as
+// soon as nobody else can be using it.
+func (m *Machine) Wanted() []pimento.UpstreamName {
+	var out []pimento.UpstreamName
+	for name, r := range m.upstreams {
+		if r.wanted {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Epoch returns the epoch of the plan in force here.
 func (m *Machine) Epoch() uint64 { return m.plan.Epoch }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -114,6 +114,11 @@
 		keep[s.Name] = true
 		d.ensure(s)
 	}
+	for name, l := range d.lanes {
+		l.mu.Lock()
+		l.watched = keep[name]
+		l.mu.Unlock()
+	}
 	for name, l := range d.lanes {
 		if !keep[name] && l.idle() {
 			if l.cancel != nil {
@@ -220,12 +225,12 @@
 	return reports, loads
 }
 
-// Lost returns the upstreams that this process holds and has lost.
+// Lost returns the upstreams that this process watches or holds and has lost.
 func (d *Dispatcher) Lost() []pimento.UpstreamName {
 	var out []pimento.UpstreamName
 	for _, l := range d.all() {
 		l.mu.Lock()
-		if l.lost && l.held {
+		if l.lost && (l.held || l.watched) {
 			out = append(out, l.server.Name)
 		}
 		l.mu.Unlock()
--- a/dispatcher/lane.go
+++ b/dispatcher/lane.go
@@ -50,6 +50,7 @@
 
 	mu        sync.Mutex
 	held      bool // this process has the right to speak to the upstream
+	watched   bool // this process is to get the right, or would get it
 	stopping  bool
 	fence     uint64
 	sequence  uint64
--- a/load/outage.go
+++ b/load/outage.go
@@ -203,6 +203,7 @@
 	defer p.mu.Unlock()
 	if err != nil {
 		p.failed++
+		fmt.Fprintln(os.Stderr, "not answered:", err)
 	}
 	p.longest = max(p.longest, took)
 }
--- a/runner/core.go
+++ b/runner/core.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -48,7 +49,9 @@
 	listed   bool
 	hadRight bool
 	excluded chan struct{}
+	exclude  func() // closes excluded
 	gone     []departure
+	watched  []pimento.UpstreamName
 	dropped  map[pimento.ProcessID]bool // in this epoch
 
 	current atomic.Pointer[view]
@@ -80,6 +83,7 @@
 		excluded: make(chan struct{}),
 		dropped:  make(map[pimento.ProcessID]bool),
 	}
+	c.exclude = sync.OnceFunc(func() { close(c.excluded) })
 	c.current.Store(&view{plan: c.plans})
 	c.reports.Store(&map[pimento.UpstreamName]sighting{})
 	return c
@@ -133,6 +137,7 @@
 	for _, e := range effects {
 		c.carryOut(ctx, e)
 	}
+	c.watchUpstreams()
 }
 
 // publish shows the decisions to the path of requests.
@@ -229,10 +234,9 @@
 	clear(c.dropped)
 	c.forgetHellos(&plan)
 	c.noteDepartures(now, old, &plan)
-	c.watchUpstreams(&plan)
 	_, listed := plan.Process(c.node.self.ID)
 	if c.listed && !listed {
-		close(c.excluded)
+		c.exclude()
 	}
 	c.listed = listed
 }
@@ -248,14 +252,24 @@
 	}
 }
 
-// watchUpstreams lets the dispatcher probe what this process may dispatch.
-func (c *core) watchUpstreams(plan *pimento.Plan) {
-	var servers []pimento.Server
-	for _, d := range plan.Upstreams {
-		if len(d.Dispatchers) == 0 || d.Dispatchers[0] != c.node.self.ID {
-			continue
+// watchUpstreams lets the dispatcher probe what this process is to dispatch,
+// also while it still waits for the right: a takeover then finds out early
+// that an upstream was lost with its dispatcher.
+func (c *core) watchUpstreams() {
+	names := c.claim.Wanted()
+	for _, d := range c.plans.Upstreams {
+		mine := len(d.Dispatchers) > 0 && d.Dispatchers[0] == c.node.self.ID
+		if mine && !slices.Contains(names, d.Upstream) {
+			names = append(names, d.Upstream) // lost, so no right to it is wanted
 		}
-		if s, ok := plan.Config.Server(d.Upstream); ok {
+	}
+	if slices.Equal(names, c.watched) {
+		return
+	}
+	c.watched = names
+	var servers []pimento.Server
+	for _, name := range names {
+		if s, ok := c.plans.Config.Server(name); ok {
 			servers = append(servers, s)
 		}
 	}
