--- a/dispatcher/grant.go
+++ b/dispatcher/grant.go
@@ -74,7 +74,7 @@
 			h.grantEnds = until
 		}
 	}
-	if l.server.Service != "" && l.d.unkeyed(l.server.Service) && !l.stopping {
+	if l.d.unkeyed(l.server.Service) && !l.stopping {
 		g.Ranges = []pimento.Range{{Start: 0, End: math.MaxUint64}}
 	}
 	if len(g.Ranges) > 0 {
--- a/planner/table.go
+++ b/planner/table.go
@@ -72,7 +72,7 @@
 func (b *builder) addShares() {
 	for _, s := range b.in.Config.ServersOf(b.service.Name) {
 		r, known := b.in.Reports[s.Name]
-		if !b.in.Config.Eligible(s) || known && r.Condition == pimento.ConditionLost {
+		if !b.in.Config.Eligible(s) || b.isLost(s.Name) {
 			continue
 		}
 		bears := 1.0
@@ -103,13 +103,11 @@
 		s := &b.slices[i]
 		planned := len(s.Owners) > 0 && b.share(s.Owners[0]) == nil && !b.isLost(s.Owners[0])
 		s.Owners = slices.DeleteFunc(s.Owners, func(name pimento.UpstreamName) bool { return b.share(name) == nil })
-		if planned {
-			b.orphans = append(b.orphans, s)
-		} else if len(s.Owners) > 0 {
-			b.give(s, b.share(s.Owners[0]))
-		} else {
+		if planned || len(s.Owners) == 0 {
 			b.orphans = append(b.orphans, s)
+			continue
 		}
+		b.give(s, b.share(s.Owners[0]))
 	}
 }
 
