--- /dev/null
+++ b/acceptor/exchange.go
@@ -0,0 +1,297 @@
+package acceptor
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httputil"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"pimentorelay.example/pimento"
+)
+
+// exchange is one request with its answer.
+type exchange struct {
+	conn    *conn
+	request *pimento.Request
+	method  string
+	body    *body // nil where the request has none
+	last    bool  // the caller wants no other answer on this connection
+	err     error // the request is faulty
+	turn    chan struct{}
+
+	ready   chan struct{} // closed when answer or out is set; nil: it is
+	answer  pimento.Answer
+	out     *pimento.OutcomeError
+	release context.CancelFunc
+}
+
+// run lets the handler answer the request.
+func (x *exchange) run() {
+	defer close(x.ready)
+	ctx, cancel := context.WithCancel(x.conn.ctx)
+	x.release = cancel
+	var src io.Reader = http.NoBody
+	if x.body != nil {
+		src = x.body
+	}
+	answer, err := x.conn.a.Handler.Handle(ctx, x.request, src)
+	if x.body != nil {
+		x.body.abandon()
+	}
+	if err == nil {
+		x.answer = answer
+		return
+	}
+	if !errors.As(err, &x.out) {
+		x.out = pimento.Unknown(pimento.ReasonUpstreamLost, err.Error())
+	}
+}
+
+// refuse ends an exchange that never reached the handler.
+func (x *exchange) refuse(out *pimento.OutcomeError) {
+	x.out = out
+	if x.conn.a.OnRefused != nil {
+		x.conn.a.OnRefused(x.request, out)
+	}
+}
+
+// proceed tells a caller that asked to send its body.
+func (x *exchange) proceed() error {
+	select {
+	case <-x.turn:
+	case <-x.conn.ctx.Done():
+		return x.conn.ctx.Err()
+	}
+	if _, err := x.conn.w.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+		return err
+	}
+	return x.conn.w.Flush()
+}
+
+// write sends the answers in order until the connection ends.
+func (c *conn) write() {
+	defer close(c.ended)
+	broken := false
+	for x := range c.queue {
+		if x.turn != nil {
+			close(x.turn)
+		}
+		if x.ready != nil {
+			<-x.ready
+		}
+		if !broken && !c.answer(x) {
+			broken = true
+			c.cancel()
+		}
+		x.end()
+		c.a.active.Add(-1)
+		c.mu.Lock()
+		c.pending--
+		c.mu.Unlock()
+	}
+}
+
+// end frees what the exchange holds.
+func (x *exchange) end() {
+	if x.answer.Body != nil {
+		x.answer.Body.Close()
+	}
+	if x.release != nil {
+		x.release()
+	}
+}
+
+// answer writes one answer and reports whether another may follow.
+func (c *conn) answer(x *exchange) bool {
+	if c.ctx.Err() != nil {
+		return false
+	}
+	last := x.last || c.isLast()
+	head := x.answer.Head
+	body := io.Reader(x.answer.Body)
+	if x.out != nil {
+		head, body = c.refusal(x), nil
+	}
+	if err := c.send(x, head, body, last); err != nil {
+		c.raw.Close()
+		return false
+	}
+	if last {
+		c.finish()
+	}
+	return !last
+}
+
+// isLast reports whether the process is shutting down and no other request
+// waits on the connection.
+func (c *conn) isLast() bool {
+	if !c.a.draining.Load() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pending <= 1 && c.r.Buffered() == 0
+}
+
+// finish ends the connection after its last answer. The reader drops what
+// still comes.
+func (c *conn) finish() {
+	c.mu.Lock()
+	c.closing = true
+	c.mu.Unlock()
+	if half, ok := c.raw.(interface{ CloseWrite() error }); ok {
+		if err := half.CloseWrite(); err != nil {
+			c.raw.Close()
+			return
+		}
+	}
+	if err := c.raw.SetReadDeadline(time.Now().Add(lingerTimeout)); err != nil {
+		c.raw.Close()
+	}
+}
+
+// refusal returns the head of an answer that is the system's own.
+func (c *conn) refusal(x *exchange) pimento.AnswerHead {
+	h := make(http.Header)
+	status := c.a.Wire.WriteRefusal(h, x.request, x.out)
+	return pimento.AnswerHead{Status: status, Header: h}
+}
+
+// send writes head and body of an answer.
+func (c *conn) send(x *exchange, head pimento.AnswerHead, body io.Reader, last bool) error {
+	if err := c.raw.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(c.w, "HTTP/1.1 %d %s\r\n", head.Status, http.StatusText(head.Status)); err != nil {
+		return err
+	}
+	empty := x.method == http.MethodHead || head.Status == http.StatusNoContent || head.Status == http.StatusNotModified
+	h := head.Header
+	if last {
+		h.Set("Connection", "close")
+	}
+	switch {
+	case empty:
+	case head.BodyLength >= 0:
+		h.Set("Content-Length", strconv.FormatInt(head.BodyLength, 10))
+	default:
+		h.Del("Content-Length")
+		h.Set("Transfer-Encoding", "chunked")
+	}
+	if err := h.Write(c.w); err != nil {
+		return err
+	}
+	if _, err := c.w.WriteString("\r\n"); err != nil {
+		return err
+	}
+	if body != nil && !empty {
+		if err := c.copyBody(head.BodyLength, body); err != nil {
+			return err
+		}
+	}
+	return c.w.Flush()
+}
+
+// copyBody sends a body of the given length, or in chunks.
+func (c *conn) copyBody(length int64, body io.Reader) error {
+	if length >= 0 {
+		_, err := io.CopyN(c.w, body, length)
+		return err
+	}
+	chunks := httputil.NewChunkedWriter(c.w)
+	if _, err := io.Copy(chunks, body); err != nil {
+		return err
+	}
+	if err := chunks.Close(); err != nil {
+		return err
+	}
+	_, err := c.w.WriteString("\r\n")
+	return err
+}
+
+// errTooLarge is the cause where a body without a length exceeds the limit.
+var errTooLarge = errors.New("the body is larger than operators allow")
+
+// body is the body of a request. The handler reads it; what it leaves is
+// dropped, so that the next request can be read.
+type body struct {
+	src     io.ReadCloser
+	limit   int64
+	conn    *conn
+	proceed func() error // nil: the caller sends without being asked
+	once    sync.Once
+	done    chan struct{} // closed when the handler reads no more
+	left    atomic.Bool   // the handler reads no more
+
+	mu   sync.Mutex // held while src is read
+	read int64
+	end  error
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.left.Load() {
+		return 0, io.ErrClosedPipe
+	}
+	if b.proceed != nil {
+		ask := b.proceed
+		b.proceed = nil
+		if err := ask(); err != nil {
+			return 0, err
+		}
+	}
+	n, err := b.src.Read(p)
+	b.read += int64(n)
+	if err == nil && b.read > b.limit {
+		err = errTooLarge
+	}
+	if err != nil {
+		b.end = err
+		b.abandon()
+		if err != io.EOF && err != errTooLarge && !b.left.Load() {
+			b.conn.cancel() // the caller has left
+		}
+	}
+	return n, err
+}
+
+// abandon says that the handler reads no more.
+func (b *body) abandon() {
+	b.once.Do(func() { close(b.done) })
+}
+
+// finish waits until the handler reads no more, drops the rest, and reports
+// whether the body has come whole.
+func (b *body) finish() bool {
+	<-b.done
+	b.left.Store(true)
+	// A read that is still under way belongs to a request that was given up.
+	if err := b.conn.raw.SetReadDeadline(time.Now().Add(dropTimeout)); err != nil {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.proceed != nil {
+		return false // the caller may send it or not
+	}
+	if b.end == nil {
+		_, b.end = io.Copy(io.Discard, io.LimitReader(b.src, b.limit))
+		return b.end == nil && b.ended()
+	}
+	return b.end == io.EOF
+}
+
+// ended reports whether nothing of the body is left. The caller holds mu.
+func (b *body) ended() bool {
+	var one [1]byte
+	_, err := b.src.Read(one[:])
+	return err == io.EOF
+}
--- a/config.go
+++ b/config.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"time"
 )
 
 // CategoryName is an opaque word of the operators. It may read like a fault
@@ -58,9 +59,15 @@
 
 // Service is a set of upstreams that serve the same requests.
 type Service struct {
-	Name    ServiceName
-	Sharing Sharing
-	Fencing Fencing
+	Name       ServiceName
+	Sharing    Sharing
+	Fencing    Fencing
+	HealthPath string
+	// Connections is the most that one upstream accepts from all callers.
+	Connections int
+	ColdFor     time.Duration // how long an upstream is cold after its start
+	ColdRate    float64       // requests a second that a cold upstream bears
+	WarmFor     time.Duration // how long keys are slow that came without a handover
 }
 
 // Domain is a failure domain.
@@ -84,6 +91,10 @@
 	Address     netip.AddrPort
 	Slots       int
 	Connections int
+	Domain      DomainName
+	State       State     // StateArriving or StateLeaving
+	Started     time.Time // on the upstream's clock; a later start is another run
+	WarmAt      time.Time // until then the upstream is cold
 }
 
 // Config is what operators accept: the content of one sheet.
--- /dev/null
+++ b/connector/control.go
@@ -0,0 +1,108 @@
+package connector
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"pimentorelay.example/pimento"
+)
+
+// reply is the answer to a control call, read whole.
+type reply struct {
+	status int
+	header http.Header
+}
+
+// Grant gives keys to the upstream or renews a grant. It returns
+// *pimento.FencedError if the upstream has seen a higher fence, and
+// *pimento.UnreachableError if no answer came; then the grant may take effect
+// up to now or later.
+func (c *Client) Grant(ctx context.Context, g pimento.KeyGrant) error {
+	path, body := c.Wire.Grant(g)
+	r, err := c.control(ctx, http.MethodPost, path, body, controlTimeout)
+	if err != nil {
+		return fmt.Errorf("Client.Grant: %w", err)
+	}
+	if r.status == http.StatusConflict {
+		return &pimento.FencedError{Upstream: c.Server.Name, Range: g.Range, Fence: g.Fence}
+	}
+	return c.expect(r)
+}
+
+// Release takes keys back. It waits until the work that runs on them has
+// ended, or ctx ends, and returns the handover for their next holder.
+func (c *Client) Release(ctx context.Context, span pimento.KeyRange, fence uint64, wait time.Duration) (string, error) {
+	path, body := c.Wire.Release(span, fence)
+	r, err := c.control(ctx, http.MethodPost, path, body, wait)
+	if err != nil {
+		return "", fmt.Errorf("Client.Release: %w", err)
+	}
+	return c.Wire.ReadHandover(r.header), c.expect(r)
+}
+
+// Probe asks for the upstream's health.
+func (c *Client) Probe(ctx context.Context, path string) (healthy bool, mark pimento.AnswerMark, err error) {
+	r, err := c.control(ctx, http.MethodGet, path, nil, controlTimeout)
+	if err != nil {
+		return false, pimento.AnswerMark{}, fmt.Errorf("Client.Probe: %w", err)
+	}
+	return r.status == http.StatusOK, c.Wire.ReadAnswer(r.status, r.header), nil
+}
+
+func (c *Client) expect(r reply) error {
+	if r.status == http.StatusOK {
+		return nil
+	}
+	return &pimento.UnreachableError{Target: string(c.Server.Name), Cause: fmt.Errorf("unexpected status %d", r.status)}
+}
+
+// control makes a call that is neither counted nor placed as a request.
+func (c *Client) control(ctx context.Context, method, path string, body []byte, wait time.Duration) (reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	x, err := c.get(ctx, false)
+	if err != nil {
+		return reply{}, &pimento.UnreachableError{Target: string(c.Server.Name), Cause: err}
+	}
+	stop := context.AfterFunc(ctx, func() { x.Close() })
+	r, keep, err := exchangeControl(x, c.Server.Address.String(), method, path, body)
+	if err != nil || !stop() || !keep {
+		x.Close()
+	} else {
+		c.put(x)
+	}
+	if err != nil {
+		return reply{}, &pimento.UnreachableError{Target: string(c.Server.Name), Cause: err}
+	}
+	return r, nil
+}
+
+func exchangeControl(x *conn, host, method, path string, body []byte) (reply, bool, error) {
+	req, err := http.NewRequest(method, "http://"+host+path, bytes.NewReader(body))
+	if err != nil {
+		return reply{}, false, err
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	req.Header["User-Agent"] = nil
+	if err := req.Write(x.w); err != nil {
+		return reply{}, false, err
+	}
+	if err := x.w.Flush(); err != nil {
+		return reply{}, false, err
+	}
+	res, err := http.ReadResponse(x.r, req)
+	if err != nil {
+		return reply{}, false, err
+	}
+	defer res.Body.Close()
+	if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxControlSize)); err != nil {
+		return reply{}, false, err
+	}
+	return reply{status: res.StatusCode, header: res.Header}, !res.Close, nil
+}
--- a/fault.go
+++ b/fault.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 )
 
 // FieldFault is one value that a check refused. Row and Column are zero where
@@ -64,6 +65,7 @@
 	Object  string
 	Based   uint64
 	Current uint64
+	Entry   Entry // as it stands now, where the store tells
 }
 
 // Error names both versions.
@@ -77,6 +79,43 @@
 // Error names the object.
 func (e *NotFoundError) Error() string { return fmt.Sprintf("object %q does not exist", e.Object) }
 
+// ExistsError says that an entry that was to be made exists already.
+type ExistsError struct{ Current Entry }
+
+// Error names the entry.
+func (e *ExistsError) Error() string {
+	return fmt.Sprintf("entry %q of kind %q exists at revision %d", e.Current.Name, e.Current.Kind, e.Current.Revision)
+}
+
+// FencedError says that an upstream refused a grant because it has seen a
+// higher fence on one of the keys.
+type FencedError struct {
+	Upstream UpstreamName
+	Range    KeyRange
+	Fence    uint64
+}
+
+// Error names upstream, range and fence.
+func (e *FencedError) Error() string {
+	return fmt.Sprintf("upstream %q has seen a higher fence than %d on keys %s", e.Upstream, e.Fence, e.Range)
+}
+
+// BusyError says that the store did nothing, since it is too busy or not able.
+type BusyError struct{ Status int }
+
+// Error names the HTTP status.
+func (e *BusyError) Error() string {
+	return fmt.Sprintf("the store did nothing: status %d", e.Status)
+}
+
+// HistoryGoneError says that a watch cannot go on from its revision.
+type HistoryGoneError struct{ After uint64 }
+
+// Error names the revision.
+func (e *HistoryGoneError) Error() string {
+	return fmt.Sprintf("the store's history after revision %d is gone", e.After)
+}
+
 // UnreachableError says that an answer never arrived. Whether the call took
 // effect is not known.
 type UnreachableError struct {
@@ -97,6 +136,9 @@
 	Outcome Outcome
 	Reason  Reason
 	Detail  string
+	// RetryAfter is how long the caller should wait before it sends the
+	// request again; zero: not told.
+	RetryAfter time.Duration
 }
 
 // Error names outcome and reason.
--- a/header.go
+++ b/header.go
@@ -30,9 +30,8 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
-// StripHeader removes from h what must not be passed on: headers of one
-// connection and headers that only the system itself may set.
-func StripHeader(h http.Header) {
+// StripConnection removes from h the headers that concern one connection only.
+func StripConnection(h http.Header) {
 	for _, field := range h.Values("Connection") {
 		for name := range strings.SplitSeq(field, ",") {
 			h.Del(strings.TrimSpace(name))
@@ -41,6 +40,12 @@
 	for _, name := range hopHeaders {
 		h.Del(name)
 	}
+}
+
+// StripHeader removes from h what must not be passed on: headers of one
+// connection and headers that only the system itself may set.
+func StripHeader(h http.Header) {
+	StripConnection(h)
 	for name := range h {
 		// net/http sends a request with an idempotency key a second time when
 		// a connection breaks. The upstream gets HeaderRequestID instead.
--- a/relay/main.go
+++ b/relay/main.go
@@ -23,7 +23,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newRunCommand())
+	root.AddCommand(newRunCommand(), newServeCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "relay:", err)
 		os.Exit(1)
--- a/request.go
+++ b/request.go
@@ -39,6 +39,15 @@
 	ReasonAnswerNotKept Reason = "AnswerNotKept"
 	ReasonBodyCut       Reason = "BodyCut"
 	ReasonWrongAnswer   Reason = "WrongAnswer"
+
+	ReasonNoManifest     Reason = "NoManifest"
+	ReasonHeaderTooLarge Reason = "HeaderTooLarge"
+	ReasonBodyTooLarge   Reason = "BodyTooLarge"
+	ReasonCallerSlow     Reason = "CallerSlow"
+	ReasonCallerGone     Reason = "CallerGone"
+	ReasonMisdirected    Reason = "Misdirected"
+	ReasonOverloaded     Reason = "Overloaded"
+	ReasonShutdown       Reason = "Shutdown"
 )
 
 // Class orders requests that wait for the same upstream.
