--- a/connector/control.go
+++ b/connector/control.go
@@ -66,7 +66,7 @@
 	defer cancel()
 	x, err := c.get(ctx, false)
 	if err != nil {
-		return reply{}, &pimento.UnreachableError{Target: string(c.Server.Name), Cause: err}
+		return reply{}, &pimento.UnreachableError{Target: string(c.Server.Name), Cause: err, Unsent: true}
 	}
 	stop := context.AfterFunc(ctx, func() { x.Close() })
 	r, keep, err := exchangeControl(x, c.Server.Address.String(), method, path, body)
--- a/event.go
+++ b/event.go
@@ -20,6 +20,12 @@
 	EventConfigInvalid    EventNumber = 2006
 	EventPlatformLost     EventNumber = 2007
 	EventPlatformBack     EventNumber = 2008
+	EventLeading          EventNumber = 2009
+	EventLeadingEnded     EventNumber = 2010
+	EventTermLearned      EventNumber = 2011
+	EventWriteUncertain   EventNumber = 2012
+	EventWriteConflict    EventNumber = 2013
+	EventManifestLearned  EventNumber = 2014
 	EventAuthorityGained  EventNumber = 3001
 	EventAuthorityLost    EventNumber = 3002
 	EventProcessSuspected EventNumber = 3003
@@ -33,6 +39,9 @@
 	EventUpstreamBack     EventNumber = 5002
 	EventUpstreamRestart  EventNumber = 5003
 	EventRecordsLost      EventNumber = 5004
+	EventGrantFailed      EventNumber = 4007
+	EventReleased         EventNumber = 4008
+	EventKeysMoved        EventNumber = 4009
 	EventRequestUnknown   EventNumber = 6001
 	EventRequestNotRun    EventNumber = 6002
 )
@@ -52,6 +61,12 @@
 	EventConfigInvalid:    "configuration in the platform is not valid",
 	EventPlatformLost:     "platform gives no answer",
 	EventPlatformBack:     "platform answers again",
+	EventLeading:          "process leads",
+	EventLeadingEnded:     "process leads no more",
+	EventTermLearned:      "term learned",
+	EventWriteUncertain:   "write of the assignment gave no answer",
+	EventWriteConflict:    "assignment was written by another process",
+	EventManifestLearned:  "manifest learned",
 	EventAuthorityGained:  "authority gained",
 	EventAuthorityLost:    "authority lost",
 	EventProcessSuspected: "process suspected",
@@ -65,6 +80,9 @@
 	EventUpstreamBack:     "upstream answers again",
 	EventUpstreamRestart:  "upstream has restarted",
 	EventRecordsLost:      "request records may be lost",
+	EventGrantFailed:      "grant of keys failed",
+	EventReleased:         "release of keys ended",
+	EventKeysMoved:        "keys go to another upstream",
 	EventRequestUnknown:   "request ended with unknown outcome",
 	EventRequestNotRun:    "request was not run",
 }
--- a/fault.go
+++ b/fault.go
@@ -117,10 +117,11 @@
 }
 
 // UnreachableError says that an answer never arrived. Whether the call took
-// effect is not known.
+// effect is not known, unless it certainly was never sent.
 type UnreachableError struct {
 	Target string
 	Cause  error
+	Unsent bool
 }
 
 // Error names the target and the cause.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -89,6 +89,7 @@
 	}
 	r.Route = route
 	r.Service = f.target(route)
+	r.GoalAt = now.Add(route.Goal)
 	if end := now.Add(route.Timeout); end.Before(r.Deadline) {
 		r.Deadline = end
 	}
--- /dev/null
+++ b/leader/ask.go
@@ -0,0 +1,203 @@
+package leader
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/elector"
+	"pimentorelay.example/pimento/messenger"
+	"pimentorelay.example/pimento/timekeeper"
+)
+
+const (
+	// askTimeout bounds a question to a member.
+	askTimeout = 700 * time.Millisecond
+	// idleAfter is how long a member may be silent before it gets no
+	// dispatching.
+	idleAfter = 600 * time.Millisecond
+	// silentPause is the time between two questions to a silent member.
+	silentPause = 500 * time.Millisecond
+)
+
+// member is what the leader knows of a process.
+type member struct {
+	process   pimento.Process
+	heardAt   time.Time
+	failures  int // questions without an answer, in a row
+	leaving   bool
+	askAt     time.Time
+	asking    bool
+	versions  messenger.Versions // that it has
+	pushing   bool
+	manifestV uint64
+}
+
+// silent reports whether a member has not answered for too long.
+func (m *member) silent(now time.Time) bool {
+	return now.Sub(m.heardAt) > idleAfter || m.failures >= maxFailures
+}
+
+// maxFailures is how many questions in a row may fail before a member counts
+// as silent.
+const maxFailures = 2
+
+// adoptMembers makes a member of every process that the assignment or the
+// store names.
+func (l *Leader) adoptMembers(now time.Time) {
+	t := l.lead
+	for _, m := range l.assignment.Members {
+		if _, ok := t.members[m.ID]; !ok && m.ID != l.Self.ID && !l.ended(m.ID) {
+			t.members[m.ID] = &member{process: m.Process, heardAt: now}
+		}
+	}
+	for _, p := range l.registered {
+		id := p.process.ID
+		if _, ok := t.members[id]; !ok && id != l.Self.ID {
+			t.members[id] = &member{process: p.process, heardAt: now}
+		}
+	}
+	for id := range t.members {
+		if l.ended(id) {
+			delete(t.members, id)
+			go l.Peers.Forget(id)
+		}
+	}
+}
+
+// askMembers sends the questions that are due.
+func (l *Leader) askMembers(now time.Time) {
+	for _, m := range l.lead.members {
+		if m.asking || now.Before(m.askAt) {
+			continue
+		}
+		m.asking = true
+		m.askAt = now.Add(l.Timing.Ask)
+		if m.silent(now) {
+			m.askAt = now.Add(silentPause)
+		}
+		l.ask(now, m)
+	}
+}
+
+// ask sends one question.
+func (l *Leader) ask(now time.Time, m *member) {
+	t := l.lead
+	q := &messenger.Ask{Term: l.elector.Term(), Blind: !l.HasStore(), Versions: t.versions}
+	go func() {
+		ctx, cancel := context.WithTimeout(t.ctx, askTimeout)
+		defer cancel()
+		sentAt := timekeeper.Now()
+		reply, err := l.Peers.Call(ctx, m.process, &messenger.Message{Ask: q})
+		l.post(t.ctx, func() {
+			m.asking = false
+			if err != nil || reply.AskReply == nil {
+				m.failures++
+				return
+			}
+			l.hear(timekeeper.Now(), sentAt, m, reply.AskReply)
+		})
+	}()
+}
+
+// hear takes the answer of a member.
+func (l *Leader) hear(now, sentAt time.Time, m *member, r *messenger.AskReply) {
+	m.heardAt, m.failures, m.leaving = now, 0, r.Leaving
+	if r.Versions.Epoch == l.elector.Term().Epoch {
+		m.versions = r.Versions
+	} else {
+		m.versions = messenger.Versions{}
+	}
+	m.manifestV = r.Versions.Manifest
+	l.elector.Answer(now, sentAt, m.process.ID, r.Epoch, r.Confirmed)
+	if l.lead != nil {
+		l.lead.takeReport(now, r.Loads, r.Speeds)
+	}
+}
+
+// takeReport adds what a member measured.
+func (t *term) takeReport(now time.Time, loads []messenger.KeyLoad, speeds []messenger.Speed) {
+	t.loads.add(now, loads)
+	for _, s := range speeds {
+		t.speeds[s.Upstream] = s.Capacity
+	}
+}
+
+// HandleAsk answers the question of a leader.
+func (l *Leader) HandleAsk(from pimento.ProcessID, q *messenger.Ask, reply func(*messenger.Message)) {
+	l.inbox <- func() {
+		now := timekeeper.Now()
+		confirmed := l.elector.Ask(now, elector.Ask{From: from, Term: q.Term, Blind: q.Blind})
+		answer := &messenger.AskReply{
+			Epoch: l.elector.Term().Epoch, Confirmed: confirmed, Leaving: l.leaving.Load(),
+			HasStore: l.HasStore(), Versions: l.Member.Versions(),
+		}
+		if confirmed {
+			answer.Loads, answer.Speeds = l.Member.Report()
+		}
+		reply(&messenger.Message{AskReply: answer})
+	}
+}
+
+// HandleVote answers a candidate.
+func (l *Leader) HandleVote(v *messenger.Vote, reply func(*messenger.Message)) {
+	l.inbox <- func() {
+		reply(&messenger.Message{Vote: &messenger.Vote{
+			Epoch: l.elector.Term().Epoch, Lacks: l.elector.Vote(timekeeper.Now(), v.Epoch),
+		}})
+	}
+}
+
+// HandleJoin takes a process that is not a member yet.
+func (l *Leader) HandleJoin(p pimento.Process) {
+	l.inbox <- func() {
+		if l.lead == nil || p.ID == l.Self.ID {
+			return
+		}
+		l.registered[p.Host] = registeredProcess{process: p, revision: l.registered[p.Host].revision}
+		l.adoptMembers(timekeeper.Now())
+	}
+}
+
+// readProcesses reads which processes have registered.
+func (l *Leader) readProcesses(now time.Time) {
+	t := l.lead
+	t.reading = true
+	go func() {
+		list, err := l.listProcesses(t.ctx, pimento.FreshnessStale)
+		l.post(t.ctx, func() {
+			t.reading = false
+			t.joinAt = now.Add(joinPause)
+			if err == nil {
+				l.takeProcesses(list)
+				l.adoptMembers(timekeeper.Now())
+			}
+		})
+	}()
+}
+
+// joinPause is the time between two readings of the registered processes.
+const joinPause = 2 * time.Second
+
+// takeProcesses takes over a reading of the registered processes. A stale one
+// may lack those that have joined since.
+func (l *Leader) takeProcesses(list []registeredProcess) {
+	for _, p := range list {
+		if p.revision >= l.registered[p.process.Host].revision {
+			l.registered[p.process.Host] = p
+		}
+	}
+}
+
+// live returns the members that answer, in order.
+func (l *Leader) live(now time.Time) []pimento.ProcessID {
+	var out []pimento.ProcessID
+	for id, m := range l.lead.members {
+		if !m.silent(now) && !m.leaving {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/leader/leader.go
@@ -0,0 +1,306 @@
+// Package leader lets one process at a time decide which upstream holds which
+// keys and which processes dispatch, and carry that out.
+//
+// Every process runs a Leader. One goroutine owns the decision machines
+// (packages elector and keeper); everything that waits runs beside it and
+// hands its results back as functions. A process that leads
+//
+//   - asks the members several times a second, which gives it authority and
+//     tells it their loads (ask.go),
+//   - reads the registered upstreams from the store (registry.go),
+//   - plans, and writes the assignment under a condition (plan.go),
+//   - grants, renews and takes back keys (grants.go),
+//   - sends the members what they lack (push.go).
+//
+// A process that does not lead stands for election when it hears no leader
+// (stand.go).
+//
+// # Usage
+//
+//	l := &leader.Leader{Self: process, Store: store, ...}
+//	go l.Run(ctx)
+//	reply := l.HandleAsk(ask)
+package leader
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/connector"
+	"pimentorelay.example/pimento/elector"
+	"pimentorelay.example/pimento/keeper"
+	"pimentorelay.example/pimento/messenger"
+	"pimentorelay.example/pimento/recorder"
+	"pimentorelay.example/pimento/timekeeper"
+)
+
+const (
+	// tick is the time between two steps of the machines.
+	tick = 40 * time.Millisecond
+	// inboxSize bounds the results that wait for the machines.
+	inboxSize = 1024
+)
+
+// The kinds of entries that the system keeps in the store.
+const (
+	// KindProcesses holds the processes, under the names of their hosts.
+	KindProcesses pimento.StoreKind = "relay-processes"
+	// KindAssignment holds the assignment under the name AssignmentName.
+	KindAssignment pimento.StoreKind = "relay-assignment"
+	// AssignmentName is the name of the assignment.
+	AssignmentName = "main"
+)
+
+// Peers calls other processes.
+type Peers interface {
+	Call(ctx context.Context, to pimento.Process, m *messenger.Message) (*messenger.Message, error)
+	Forget(id pimento.ProcessID)
+}
+
+// Registry reads what upstreams and operators wrote into the store.
+type Registry interface {
+	// Upstreams returns the registered upstreams. Their WarmAt is on the clock
+	// of timekeeper.
+	Upstreams(ctx context.Context) ([]pimento.Server, error)
+	// Out waits for the failure domains that are to get no work to differ
+	// from those as of a revision; with zero it returns at once.
+	Out(ctx context.Context, after uint64) ([]pimento.DomainName, uint64, error)
+}
+
+// Member is what the Leader needs of its own process as one that is led.
+type Member interface {
+	// Apply takes over parts of the state.
+	Apply(s *messenger.State)
+	// Manifest returns the manifest in force here, nil if none is known.
+	Manifest() *pimento.Manifest
+	// Report returns what this process measured since the last report.
+	Report() ([]messenger.KeyLoad, []messenger.Speed)
+	// Versions returns the versions of the state known here.
+	Versions() messenger.Versions
+}
+
+// Leader is the part of a process that may lead. Set the exported fields
+// before Run.
+type Leader struct {
+	Self     pimento.Process
+	Store    pimento.Store
+	Registry Registry
+	Peers    Peers
+	Member   Member
+	Events   *recorder.Recorder
+	Timing   elector.Timing
+	Keys     keeper.Timing
+	// Client returns the client of an upstream.
+	Client func(pimento.Server) *connector.Client
+
+	inbox   chan func()
+	elector *elector.Machine
+	keeper  *keeper.Machine
+	leaving atomic.Bool
+	storeAt atomic.Int64 // when the store last answered, in Unix nanoseconds of timekeeper
+
+	// authority is the end of this process's authority, in Unix nanoseconds.
+	authority atomic.Int64
+
+	standing   bool
+	stoodAt    time.Time
+	registered map[pimento.HostName]registeredProcess // as last read from the store
+	assignment *pimento.Assignment                    // as it stands in the store, as far as known
+	revision   uint64                                 // of the assignment
+	termAt     time.Time                              // when the confirmers last changed
+	balancedAt time.Time                              // when keys last moved for balance
+	lead       *term                                  // nil unless this process leads
+}
+
+// term is what a process that leads knows.
+type term struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	members   map[pimento.ProcessID]*member
+	upstreams registry
+	loads     loads
+	speeds    map[pimento.UpstreamName]float64 // requests a second
+	versions  messenger.Versions
+	owners    []messenger.Owner
+	runs      map[pimento.UpstreamName]pimento.Server // last known addresses
+	queues    map[pimento.UpstreamName]*queue
+	probing   map[pimento.UpstreamName]bool
+
+	reportAt time.Time // when this process's own loads are counted next
+	listAt   time.Time // when the upstreams are to be read next
+	listing  bool
+	verifyAt time.Time
+	planAt   time.Time
+	writing  bool
+	joinAt   time.Time // when the registered processes are to be read next
+	reading  bool
+	dirtyAt  time.Time // since when the assignment names former holders that are gone
+}
+
+// Run leads or stands by until ctx ends.
+func (l *Leader) Run(ctx context.Context) error {
+	l.elector = elector.New(l.Self.ID, l.Timing)
+	l.registered = make(map[pimento.HostName]registeredProcess)
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case do := <-l.inbox:
+			do()
+		case <-ticker.C:
+		}
+		l.step(ctx)
+	}
+}
+
+// Init makes the Leader ready for messages. It is called before Run.
+func (l *Leader) Init() {
+	l.inbox = make(chan func(), inboxSize)
+}
+
+// Leave says that this process is about to end.
+func (l *Leader) Leave() { l.leaving.Store(true) }
+
+// HasStore reports whether the store has answered this process lately.
+func (l *Leader) HasStore() bool {
+	return timekeeper.Now().UnixNano()-l.storeAt.Load() < int64(storeFresh)
+}
+
+// storeFresh is how long ago the store may have answered to count as reached.
+const storeFresh = 1500 * time.Millisecond
+
+// noteStore records an answer of the store.
+func (l *Leader) noteStore() { l.storeAt.Store(timekeeper.Now().UnixNano()) }
+
+// StoreAnswered tells that the store answered another part of the process.
+func (l *Leader) StoreAnswered() { l.noteStore() }
+
+// post hands a result to the machines.
+func (l *Leader) post(ctx context.Context, do func()) {
+	select {
+	case l.inbox <- do:
+	case <-ctx.Done():
+	}
+}
+
+// ended reports whether a process has ended for certain: another one has
+// registered under its host.
+func (l *Leader) ended(id pimento.ProcessID) bool {
+	if l.assignment == nil || id == l.Self.ID {
+		return false
+	}
+	m, ok := l.assignment.Member(id)
+	if !ok {
+		return false
+	}
+	now, ok := l.registered[m.Host]
+	return ok && now.process.ID != id
+}
+
+// step brings the machines up to now and carries out what they ask for.
+func (l *Leader) step(ctx context.Context) {
+	now := timekeeper.Now()
+	l.elector.Tick(now, l.ended)
+	l.authority.Store(nanos(l.elector.AuthorityUntil()))
+	if l.elector.Leads() && l.lead == nil {
+		l.beginTerm(ctx, now)
+	}
+	if !l.elector.Leads() && l.lead != nil {
+		l.endTerm()
+	}
+	if l.lead != nil {
+		l.act(now)
+		return
+	}
+	if l.elector.MayStand(now, l.ended) && !l.leaving.Load() {
+		l.stand(ctx, now)
+	}
+}
+
+func nanos(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixNano()
+}
+
+// HasAuthority reports whether this process may act as the leader now.
+func (l *Leader) HasAuthority() bool { return timekeeper.Now().UnixNano() < l.authority.Load() }
+
+// beginTerm starts to lead.
+func (l *Leader) beginTerm(ctx context.Context, now time.Time) {
+	t := &term{
+		members: make(map[pimento.ProcessID]*member), speeds: make(map[pimento.UpstreamName]float64),
+		runs: make(map[pimento.UpstreamName]pimento.Server), queues: make(map[pimento.UpstreamName]*queue),
+		probing: make(map[pimento.UpstreamName]bool),
+	}
+	t.ctx, t.cancel = context.WithCancel(ctx)
+	t.loads.init()
+	l.lead = t
+	l.keeper = keeper.New(l.Keys)
+	l.keeper.Adopt(now, l.assignment)
+	l.adoptMembers(now)
+	l.Events.Emit(pimento.EventLeading, "Epoch", l.elector.Term().Epoch, "Revision", l.revision, "Confirmers", len(l.elector.Term().Confirmers))
+	go l.followOut(t)
+}
+
+// endTerm stops leading.
+func (l *Leader) endTerm() {
+	l.Events.Emit(pimento.EventLeadingEnded, "Epoch", l.elector.Term().Epoch, "Leader", l.elector.Term().Leader)
+	l.lead.cancel()
+	l.lead = nil
+	l.keeper = nil
+}
+
+// act does what is due for one who leads.
+func (l *Leader) act(now time.Time) {
+	t := l.lead
+	l.askMembers(now)
+	if !now.Before(t.reportAt) {
+		t.reportAt = now.Add(l.Timing.Ask)
+		loads, speeds := l.Member.Report()
+		t.takeReport(now, loads, speeds)
+	}
+	if !t.listing && !now.Before(t.listAt) {
+		l.listUpstreams(now)
+	}
+	if !now.Before(t.verifyAt) {
+		l.verify(now)
+	}
+	if !t.reading && !now.Before(t.joinAt) {
+		l.readProcesses(now)
+	}
+	in := l.input()
+	for _, c := range l.keeper.Step(now, in) {
+		l.call(c)
+	}
+	l.probeLost()
+	if !t.writing && !now.Before(t.planAt) {
+		t.planAt = now.Add(planPause)
+		l.plan(now, in)
+	}
+	l.noteOwners(now, in)
+	l.push()
+}
+
+// input returns what the keeper needs to know.
+func (l *Leader) input() keeper.Input {
+	settled, ok := l.elector.SettledAt()
+	if !ok {
+		settled = timekeeper.Now().Add(l.Timing.Blind)
+	}
+	return keeper.Input{
+		Authority: l.elector.AuthorityUntil(), Settled: settled,
+		Ended: l.lead.upstreams.ended,
+		Known: func(r pimento.Run) bool { _, ok := l.lead.address(r); return ok },
+	}
+}
+
+// jitter returns a random part of d.
+func jitter(d time.Duration) time.Duration { return rand.N(d) }
--- /dev/null
+++ b/leader/registry.go
@@ -0,0 +1,223 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/messenger"
+	"pimentorelay.example/pimento/timekeeper"
+)
+
+const (
+	// listPause is the time between two readings of the upstreams. A leaving
+	// upstream must be known everywhere within two seconds.
+	listPause = 400 * time.Millisecond
+	// listRetry is the time after a reading that failed.
+	listRetry = 250 * time.Millisecond
+	// outageAfter is how long the store may not have answered before entries
+	// that are missing then may have lapsed with it.
+	outageAfter = 1200 * time.Millisecond
+	// lapseGrace is how long after the store's return such entries may be
+	// missing.
+	lapseGrace = 2300 * time.Millisecond
+	// outWait is how long one watch for failure domains taken out may wait.
+	outWait = 25 * time.Second
+	// outRetry is the time after such a watch that failed.
+	outRetry = 500 * time.Millisecond
+)
+
+// registry is what is known of the upstreams.
+type registry struct {
+	known   map[pimento.UpstreamName]pimento.Server
+	goneAt  map[pimento.UpstreamName]time.Time // when an entry was first missing
+	lastRun map[pimento.UpstreamName]time.Time // latest start that was seen
+	out     []pimento.DomainName
+	coldTo  map[pimento.UpstreamName]time.Time // cold since their domain came back
+	readAt  time.Time
+	graceTo time.Time
+	version uint64
+	sent    []pimento.Server // as of version
+	sentOut []pimento.DomainName
+}
+
+// take takes over a reading that began at startedAt.
+func (r *registry) take(now, startedAt time.Time, list []pimento.Server) {
+	if r.known == nil {
+		r.known = make(map[pimento.UpstreamName]pimento.Server)
+		r.goneAt = make(map[pimento.UpstreamName]time.Time)
+		r.lastRun = make(map[pimento.UpstreamName]time.Time)
+		r.coldTo = make(map[pimento.UpstreamName]time.Time)
+	}
+	if !r.readAt.IsZero() && startedAt.Sub(r.readAt) > outageAfter {
+		r.graceTo = now.Add(lapseGrace)
+	}
+	r.readAt = now
+	next := make(map[pimento.UpstreamName]pimento.Server, len(list))
+	addresses := make(map[string]bool, len(list))
+	for _, s := range list {
+		next[s.Name] = s
+		addresses[s.Address.String()] = true
+		if s.Started.After(r.lastRun[s.Name]) {
+			r.lastRun[s.Name] = s.Started
+		}
+	}
+	for name, s := range r.known {
+		if _, there := next[name]; there || addresses[s.Address.String()] {
+			continue
+		}
+		if now.Before(r.graceTo) {
+			next[name] = s
+		}
+	}
+	r.known = next
+	r.changed()
+}
+
+// setOut replaces the failure domains that get no work. Upstreams of one that
+// comes back may be cold.
+func (r *registry) setOut(now time.Time, out []pimento.DomainName, cold func(pimento.ServiceName) time.Duration) {
+	for name, s := range r.known {
+		if slices.Contains(r.out, s.Domain) && !slices.Contains(out, s.Domain) {
+			r.coldTo[name] = now.Add(cold(s.Service))
+		}
+	}
+	r.out = out
+	r.changed()
+}
+
+// changed raises the version if there is something new to send.
+func (r *registry) changed() {
+	list := r.list()
+	same := slices.EqualFunc(list, r.sent, func(a, b pimento.Server) bool {
+		return a.Name == b.Name && a.Address == b.Address && a.State == b.State && a.Started.Equal(b.Started) &&
+			a.Slots == b.Slots && a.Domain == b.Domain && a.WarmAt.Sub(b.WarmAt).Abs() < warmSlack
+	})
+	if same && slices.Equal(r.out, r.sentOut) && r.version > 0 {
+		return
+	}
+	r.version++
+	r.sent, r.sentOut = list, slices.Clone(r.out)
+}
+
+// warmSlack is by how much the reported end of a cold start may differ without
+// being news.
+const warmSlack = 300 * time.Millisecond
+
+// list returns the upstreams in order of their names.
+func (r *registry) list() []pimento.Server {
+	out := make([]pimento.Server, 0, len(r.known))
+	for name, s := range r.known {
+		if to := r.coldTo[name]; to.After(s.WarmAt) {
+			s.WarmAt = to
+		}
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b pimento.Server) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// usable reports whether an upstream takes new work.
+func (r *registry) usable(s pimento.Server) bool {
+	return s.State == pimento.StateArriving && !slices.Contains(r.out, s.Domain)
+}
+
+// ended reports whether a run has ended for certain: its upstream has started
+// again.
+func (r *registry) ended(run pimento.Run) bool {
+	last, ok := r.lastRun[run.Upstream]
+	return ok && last.After(run.Started)
+}
+
+// message returns the upstreams for the members.
+func (r *registry) message(now time.Time) *messenger.UpstreamList {
+	out := &messenger.UpstreamList{Out: slices.Clone(r.out)}
+	for _, s := range r.list() {
+		u := messenger.Upstream{Server: s, ColdFor: max(0, s.WarmAt.Sub(now))}
+		u.WarmAt = time.Time{}
+		out.Upstreams = append(out.Upstreams, u)
+	}
+	return out
+}
+
+// listUpstreams reads the upstreams from the store.
+func (l *Leader) listUpstreams(now time.Time) {
+	t := l.lead
+	t.listing = true
+	go func() {
+		list, err := l.Registry.Upstreams(t.ctx)
+		if err == nil {
+			l.noteStore()
+		}
+		l.post(t.ctx, func() {
+			end := timekeeper.Now()
+			t.listing = false
+			if err != nil {
+				t.listAt = end.Add(listRetry)
+				return
+			}
+			t.listAt = now.Add(listPause)
+			if t.upstreams.version == 0 {
+				t.planAt = end
+			}
+			t.upstreams.take(end, now, list)
+			for _, s := range list {
+				t.runs[s.Name] = s
+			}
+		})
+	}()
+}
+
+// followOut learns which failure domains are to get no work.
+func (l *Leader) followOut(t *term) {
+	var after uint64
+	for t.ctx.Err() == nil {
+		out, revision, err := l.Registry.Out(t.ctx, after)
+		if err != nil {
+			var gone *pimento.HistoryGoneError
+			if errors.As(err, &gone) {
+				after = 0
+			}
+			sleep(t.ctx, outRetry)
+			continue
+		}
+		l.noteStore()
+		after = revision
+		l.post(t.ctx, func() { t.upstreams.setOut(timekeeper.Now(), out, l.coldFor) })
+	}
+}
+
+// coldFor returns how long an upstream of a service is cold after its start.
+func (l *Leader) coldFor(name pimento.ServiceName) time.Duration {
+	m := l.Member.Manifest()
+	if m == nil {
+		return 0
+	}
+	s, _ := m.Service(name)
+	return s.ColdFor
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// address returns where a run is reached.
+func (t *term) address(r pimento.Run) (pimento.Server, bool) {
+	s, ok := t.runs[r.Upstream]
+	if !ok || !s.Started.Equal(r.Started) {
+		return pimento.Server{}, false
+	}
+	return s, true
+}
--- /dev/null
+++ b/leader/stand.go
@@ -0,0 +1,303 @@
+package leader
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/appointer"
+	"pimentorelay.example/pimento/messenger"
+	"pimentorelay.example/pimento/timekeeper"
+)
+
+const (
+	// standPause is the time between two tries to lead.
+	standPause = 250 * time.Millisecond
+	// voteTimeout bounds a question to an elector.
+	voteTimeout = 350 * time.Millisecond
+	// writeRetry is the time after a write that got no answer.
+	writeRetry = 150 * time.Millisecond
+)
+
+// registeredProcess is a process with the revision of its entry. Another entry
+// of the same host with a higher revision means that the process has ended.
+type registeredProcess struct {
+	process  pimento.Process
+	revision uint64
+}
+
+// listProcesses reads the registered processes from the store.
+func (l *Leader) listProcesses(ctx context.Context, fresh pimento.Freshness) ([]registeredProcess, error) {
+	list, err := l.Store.List(ctx, KindProcesses, fresh)
+	if err != nil {
+		return nil, fmt.Errorf("Leader.listProcesses: %w", err)
+	}
+	l.noteStore()
+	var out []registeredProcess
+	for _, e := range list.Entries {
+		var p pimento.Process
+		if err := json.Unmarshal(e.Value, &p); err != nil {
+			l.Events.Emit(pimento.EventConfigInvalid, "Kind", e.Kind, "Name", e.Name, "Cause", err)
+			continue
+		}
+		out = append(out, registeredProcess{process: p, revision: e.Revision})
+	}
+	return out, nil
+}
+
+// stored is the assignment as it stands in the store.
+type stored struct {
+	assignment *pimento.Assignment // nil: there is none
+	revision   uint64
+}
+
+// readAssignment reads the assignment from the store.
+func (l *Leader) readAssignment(ctx context.Context) (stored, error) {
+	e, err := l.Store.Get(ctx, KindAssignment, AssignmentName)
+	var missing *pimento.NotFoundError
+	if errors.As(err, &missing) {
+		l.noteStore()
+		return stored{}, nil
+	}
+	if err != nil {
+		return stored{}, fmt.Errorf("Leader.readAssignment: %w", err)
+	}
+	l.noteStore()
+	return decodeAssignment(e)
+}
+
+func decodeAssignment(e pimento.Entry) (stored, error) {
+	a := &pimento.Assignment{}
+	if err := json.Unmarshal(e.Value, a); err != nil {
+		return stored{}, fmt.Errorf("decodeAssignment: %w", err)
+	}
+	if err := a.Validate(); err != nil {
+		return stored{}, fmt.Errorf("decodeAssignment: %w", err)
+	}
+	return stored{assignment: a, revision: e.Revision}, nil
+}
+
+// stand tries to lead the next term.
+func (l *Leader) stand(ctx context.Context, now time.Time) {
+	if l.standing || now.Before(l.stoodAt.Add(standPause)) {
+		return
+	}
+	l.standing = true
+	go func() {
+		s, err := l.readAssignment(ctx)
+		var list []registeredProcess
+		if err == nil {
+			list, err = l.listProcesses(ctx, pimento.FreshnessLatest)
+		}
+		l.post(ctx, func() {
+			if err != nil {
+				l.stopStanding()
+				return
+			}
+			l.takeProcesses(list)
+			l.canvass(ctx, s)
+		})
+	}()
+}
+
+func (l *Leader) stopStanding() {
+	l.standing = false
+	l.stoodAt = timekeeper.Now().Add(jitter(standPause))
+}
+
+// learn takes over an assignment that stands in the store.
+func (l *Leader) learn(now time.Time, s stored) {
+	if s.assignment == nil || s.revision <= l.revision {
+		return
+	}
+	l.assignment, l.revision = s.assignment, s.revision
+	if l.elector.Learn(now, s.assignment.Term) {
+		l.Events.Emit(pimento.EventTermLearned, "Epoch", s.assignment.Term.Epoch, "Leader", s.assignment.Term.Leader)
+	}
+}
+
+// canvass asks the electors of the term in the store whether they lack a
+// leader.
+func (l *Leader) canvass(ctx context.Context, s stored) {
+	now := timekeeper.Now()
+	l.learn(now, s)
+	if !l.elector.MayStand(now, l.ended) {
+		l.stopStanding()
+		return
+	}
+	electors, need := l.elector.Electors(l.ended)
+	epoch := l.elector.Term().Epoch
+	votes := make(chan pimento.ProcessID, len(electors))
+	asked := 0
+	for _, id := range electors {
+		if id == l.Self.ID {
+			need--
+			continue
+		}
+		m, ok := l.assignment.Member(id)
+		if !ok {
+			continue
+		}
+		asked++
+		go func() { votes <- l.askVote(ctx, m.Process, epoch) }()
+	}
+	go func() {
+		var live []pimento.ProcessID
+		for range asked {
+			if id := <-votes; id != "" {
+				live = append(live, id)
+			}
+		}
+		l.post(ctx, func() { l.count(ctx, epoch, live, need) })
+	}()
+}
+
+// askVote returns the ID of an elector that lacks a leader, or nothing.
+func (l *Leader) askVote(ctx context.Context, p pimento.Process, epoch uint64) pimento.ProcessID {
+	ctx, cancel := context.WithTimeout(ctx, voteTimeout)
+	defer cancel()
+	reply, err := l.Peers.Call(ctx, p, &messenger.Message{Vote: &messenger.Vote{Epoch: epoch}})
+	if err != nil || reply.Vote == nil || !reply.Vote.Lacks {
+		return ""
+	}
+	return p.ID
+}
+
+// count writes the next term if enough electors lack a leader.
+func (l *Leader) count(ctx context.Context, epoch uint64, live []pimento.ProcessID, need int) {
+	now := timekeeper.Now()
+	if l.elector.Term().Epoch != epoch || len(live) < need || !l.elector.MayStand(now, l.ended) {
+		l.stopStanding()
+		return
+	}
+	next := pimento.Assignment{NextFence: 1}
+	if l.assignment != nil {
+		next = l.assignment.Clone()
+	}
+	answered := append(slices.Clone(live), l.Self.ID)
+	for _, p := range l.registered {
+		if !slices.Contains(answered, p.process.ID) && !l.inTerm(p.process.ID) {
+			live = append(live, p.process.ID) // new, and perhaps alive
+		}
+	}
+	slices.Sort(live)
+	next.Term = l.elector.Next(live, l.ended)
+	next.Members = l.membersFor(&next, func(id pimento.ProcessID) bool {
+		return l.inTerm(id) && !slices.Contains(answered, id)
+	})
+	next.Pools = appointer.Lines(next.Pools, l.sizes(), next.Members)
+	l.write(ctx, next, l.revision, func(s stored, won bool) {
+		l.stopStanding()
+		l.learn(timekeeper.Now(), s)
+		if !won {
+			return
+		}
+		l.step(ctx)
+	})
+}
+
+// inTerm reports whether a process confirms the present term.
+func (l *Leader) inTerm(id pimento.ProcessID) bool {
+	return slices.Contains(l.elector.Term().Confirmers, id)
+}
+
+// membersFor lists the processes of the next assignment: those that registered
+// last for their hosts, and those that a term still names.
+func (l *Leader) membersFor(a *pimento.Assignment, idle func(pimento.ProcessID) bool) []pimento.Member {
+	byID := make(map[pimento.ProcessID]pimento.Member)
+	for _, m := range a.Members {
+		named := slices.Contains(a.Term.Confirmers, m.ID) ||
+			slices.ContainsFunc(a.Term.Prior, func(set []pimento.ProcessID) bool { return slices.Contains(set, m.ID) })
+		if named && l.ended(m.ID) {
+			m.Idle = true
+			byID[m.ID] = m
+		}
+	}
+	for _, p := range l.registered {
+		byID[p.process.ID] = pimento.Member{Process: p.process, Idle: idle(p.process.ID)}
+	}
+	if _, ok := byID[l.Self.ID]; !ok {
+		byID[l.Self.ID] = pimento.Member{Process: l.Self, Idle: idle(l.Self.ID)}
+	}
+	out := make([]pimento.Member, 0, len(byID))
+	for _, m := range byID {
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b pimento.Member) int {
+		if a.Host != b.Host {
+			if a.Host < b.Host {
+				return -1
+			}
+			return 1
+		}
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// write puts an assignment into the store, based on a revision, however long
+// the store takes to answer. A write without an answer may take effect later,
+// so it is repeated as it was: only one of the two can stand.
+func (l *Leader) write(ctx context.Context, next pimento.Assignment, based uint64, then func(stored, bool)) {
+	next.Write = string(l.Self.ID) + "-" + strconv.FormatUint(rand.Uint64(), 36)
+	value, err := json.Marshal(next)
+	if err != nil {
+		panic(err) // plain fields
+	}
+	e := pimento.Entry{Kind: KindAssignment, Name: AssignmentName, Revision: based, Value: value}
+	go func() {
+		for ctx.Err() == nil {
+			sentAt := timekeeper.Now()
+			s, won, err := l.tryWrite(ctx, e, next.Write)
+			if err == nil {
+				l.post(ctx, func() {
+					then(s, won)
+					if won {
+						l.elector.Verified(sentAt, next.Term.Epoch)
+					}
+				})
+				return
+			}
+			l.Events.Emit(pimento.EventWriteUncertain, "Epoch", next.Term.Epoch, "Revision", based, "Cause", err)
+			sleep(ctx, writeRetry)
+		}
+	}()
+}
+
+// tryWrite makes one try and returns what stands in the store after it.
+func (l *Leader) tryWrite(ctx context.Context, e pimento.Entry, id string) (stored, bool, error) {
+	var saved pimento.Entry
+	var err error
+	if e.Revision == 0 {
+		saved, err = l.Store.Create(ctx, e)
+	} else {
+		saved, err = l.Store.Replace(ctx, e)
+	}
+	var exists *pimento.ExistsError
+	var conflict *pimento.ConflictError
+	switch {
+	case err == nil:
+		saved.Value = e.Value
+	case errors.As(err, &exists):
+		saved = exists.Current
+	case errors.As(err, &conflict):
+		saved = conflict.Entry
+	default:
+		return stored{}, false, err
+	}
+	l.noteStore()
+	s, err := decodeAssignment(saved)
+	if err != nil {
+		return stored{}, false, err
+	}
+	return s, s.assignment.Write == id, nil
+}
--- /dev/null
+++ b/messenger/peer.go
@@ -0,0 +1,278 @@
+package messenger
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"pimentorelay.example/pimento"
+)
+
+// peer is the connection to one other process.
+type peer struct {
+	m       *Messenger
+	process pimento.Process
+
+	dialing sync.Mutex // held while the peer is dialed
+
+	mu       sync.Mutex
+	conn     *outgoing // nil: none
+	redialAt time.Time // no dial before, after one that failed
+	closed   bool
+}
+
+// outgoing is an open connection with the calls that wait on it.
+type outgoing struct {
+	out writer
+
+	mu      sync.Mutex
+	next    uint64
+	waiting map[uint64]chan *Message
+	heardAt time.Time
+	err     error // set when the connection has ended
+	ended   chan struct{}
+}
+
+var (
+	errNotRedialed = errors.New("the last dial failed just now")
+	errSilent      = errors.New("the peer does not answer pings")
+)
+
+func (m *Messenger) peer(p pimento.Process) *peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.peers == nil {
+		m.peers = make(map[pimento.ProcessID]*peer)
+	}
+	x, ok := m.peers[p.ID]
+	if !ok {
+		x = &peer{m: m, process: p}
+		m.peers[p.ID] = x
+	}
+	return x
+}
+
+// Forget ends the connection to a process that has ended.
+func (m *Messenger) Forget(id pimento.ProcessID) {
+	m.mu.Lock()
+	p, ok := m.peers[id]
+	delete(m.peers, id)
+	m.mu.Unlock()
+	if ok {
+		p.close()
+	}
+}
+
+func (p *peer) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	if p.conn != nil {
+		p.conn.fail(net.ErrClosed)
+	}
+}
+
+// Call sends a message and waits for its reply. If ctx ends first, the peer is
+// told that nobody waits any more.
+func (m *Messenger) Call(ctx context.Context, to pimento.Process, msg *Message) (*Message, error) {
+	conn, err := m.peer(to).connect(ctx)
+	if err != nil {
+		return nil, &pimento.UnreachableError{Target: string(to.ID), Cause: err}
+	}
+	call, answer := conn.begin()
+	defer conn.forget(call)
+	msg.Call = call
+	if err := conn.out.write(msg); err != nil {
+		conn.fail(err)
+		return nil, &pimento.UnreachableError{Target: string(to.ID), Cause: err}
+	}
+	timer := time.NewTimer(pingAfter)
+	defer timer.Stop()
+	var pingedAt time.Time
+	for {
+		select {
+		case reply := <-answer:
+			return reply, nil
+		case <-conn.ended:
+			select {
+			case reply := <-answer:
+				return reply, nil
+			default:
+			}
+			return nil, &pimento.UnreachableError{Target: string(to.ID), Cause: conn.err}
+		case <-ctx.Done():
+			if err := conn.out.write(&Message{Call: call, Cancel: true}); err != nil {
+				conn.fail(err)
+			}
+			return nil, ctx.Err()
+		case <-timer.C:
+			pingedAt = conn.test(pingedAt)
+			timer.Reset(pongTimeout)
+		}
+	}
+}
+
+// Send sends a message that wants no reply.
+func (m *Messenger) Send(ctx context.Context, to pimento.Process, msg *Message) error {
+	conn, err := m.peer(to).connect(ctx)
+	if err != nil {
+		return &pimento.UnreachableError{Target: string(to.ID), Cause: err}
+	}
+	if err := conn.out.write(msg); err != nil {
+		conn.fail(err)
+		return &pimento.UnreachableError{Target: string(to.ID), Cause: err}
+	}
+	return nil
+}
+
+// connect returns the open connection or dials. Those that wait for a dial
+// that fails do not each dial again.
+func (p *peer) connect(ctx context.Context) (*outgoing, error) {
+	if conn, err := p.open(); conn != nil || err != nil {
+		return conn, err
+	}
+	p.dialing.Lock()
+	defer p.dialing.Unlock()
+	if conn, err := p.open(); conn != nil || err != nil {
+		return conn, err
+	}
+	conn, r, err := p.dial(ctx)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil {
+		if ctx.Err() == nil {
+			p.redialAt = time.Now().Add(redialPause)
+		}
+		return nil, err
+	}
+	if p.closed {
+		conn.fail(net.ErrClosed)
+		return nil, net.ErrClosed
+	}
+	p.conn = conn
+	go conn.read(r)
+	return conn, nil
+}
+
+// open returns the open connection, nil if there is none and one may be
+// dialed.
+func (p *peer) open() (*outgoing, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, net.ErrClosed
+	}
+	if p.conn != nil {
+		select {
+		case <-p.conn.ended:
+			p.conn = nil
+		default:
+			return p.conn, nil
+		}
+	}
+	if time.Now().Before(p.redialAt) {
+		return nil, errNotRedialed
+	}
+	return nil, nil
+}
+
+func (p *peer) dial(ctx context.Context) (*outgoing, *bufio.Reader, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	d := net.Dialer{Control: limitSilence}
+	raw, err := d.DialContext(ctx, "tcp", p.process.Peer.String())
+	if err != nil {
+		return nil, nil, err
+	}
+	conn := &outgoing{
+		out: writer{conn: raw}, waiting: make(map[uint64]chan *Message),
+		heardAt: time.Now(), ended: make(chan struct{}),
+	}
+	hello := &Hello{From: p.m.Self, To: p.process.ID, Token: p.process.Token}
+	if err := conn.out.write(&Message{Hello: hello}); err != nil {
+		raw.Close()
+		return nil, nil, err
+	}
+	return conn, bufio.NewReaderSize(raw, bufferSize), nil
+}
+
+// limitSilence ends a connection whose bytes are not acknowledged.
+func limitSilence(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(writeTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// begin numbers a call.
+func (o *outgoing) begin() (uint64, chan *Message) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.next++
+	answer := make(chan *Message, 1)
+	o.waiting[o.next] = answer
+	return o.next, answer
+}
+
+func (o *outgoing) forget(call uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.waiting, call)
+}
+
+// test pings the peer, and ends the connection if it has been silent since an
+// earlier ping. It returns when the last ping was sent.
+func (o *outgoing) test(pingedAt time.Time) time.Time {
+	o.mu.Lock()
+	silent := !pingedAt.IsZero() && o.heardAt.Before(pingedAt)
+	o.mu.Unlock()
+	if silent {
+		o.fail(errSilent)
+		return pingedAt
+	}
+	call, _ := o.begin()
+	if err := o.out.write(&Message{Call: call, Ping: &Ping{}}); err != nil {
+		o.fail(err)
+	}
+	return time.Now()
+}
+
+// read takes replies until the connection ends.
+func (o *outgoing) read(r *bufio.Reader) {
+	for {
+		m, err := readFrame(r)
+		if err != nil {
+			o.fail(err)
+			return
+		}
+		o.mu.Lock()
+		o.heardAt = time.Now()
+		answer, ok := o.waiting[m.Call]
+		delete(o.waiting, m.Call)
+		o.mu.Unlock()
+		if ok && m.Reply {
+			answer <- m
+		}
+	}
+}
+
+// fail ends the connection and every call on it.
+func (o *outgoing) fail(err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.err == nil {
+		o.err = err
+		close(o.ended)
+	}
+	o.out.conn.Close()
+}
--- /dev/null
+++ b/partitioner/partitioner.go
@@ -0,0 +1,331 @@
+// Package partitioner decides which upstream should hold which keys. It is
+// pure: what is known of keys, load and upstreams comes in, moves go out.
+//
+// Keys without a holder are spread over the upstreams by what each bears. Keys
+// with one move only where that lowers the load of an overloaded upstream by
+// more than it disturbs: the narrowest range that carries the excess, so that
+// a hot range is split down to single keys and cold keys stay where they are.
+//
+// # Usage
+//
+//	moves := partitioner.Plan(partitioner.Input{...})
+package partitioner
+
+import (
+	"cmp"
+	"slices"
+
+	"pimentorelay.example/pimento"
+)
+
+const (
+	// baseLoad is the load that all keys together are counted with beside
+	// what was measured, as a part of the capacity. It spreads keys that have
+	// not been asked for yet.
+	baseLoad = 0.05
+	// calmUse is the part of its capacity up to which an upstream is left
+	// alone.
+	calmUse = 0.45
+	// excessUse is how far above the mean use an upstream must be before keys
+	// move from it.
+	excessUse = 0.12
+	// maxMoves bounds the ranges that move for balance in one plan.
+	maxMoves = 24
+	// minLoad is the least load in requests a second that is worth a move.
+	minLoad = 0.4
+	// fillUse is how far below the mean use an upstream without load must be
+	// to be given keys, so that those who join take part.
+	fillUse = 0.5
+)
+
+// Holding is a range of keys as it stands.
+type Holding struct {
+	pimento.KeyRange
+	Holder pimento.Run // zero: nobody
+	// Movable means that the range may go to another upstream now.
+	Movable bool
+	// Orphan means that the holder cannot keep the range.
+	Orphan bool
+}
+
+// Upstream is one that may hold keys.
+type Upstream struct {
+	pimento.Run
+	Capacity float64 // requests a second that it bears now
+}
+
+// Input is what a plan is made from.
+type Input struct {
+	Holdings  []Holding // sorted, covering all keys
+	Upstreams []Upstream
+	Loads     map[pimento.Key]float64 // requests a second
+	// Balance allows moves of keys that have a good holder.
+	Balance bool
+}
+
+// Move sends a range of keys to another holder.
+type Move struct {
+	pimento.KeyRange
+	Holder pimento.Run
+}
+
+// share is an upstream with what it holds.
+type share struct {
+	Upstream
+	load   float64
+	pieces []pimento.KeyRange // that may move
+}
+
+func (s *share) use() float64 { return s.load / s.Capacity }
+
+// plan is a plan in the making.
+type plan struct {
+	in     Input
+	keys   []pimento.Key // with load, sorted
+	loads  []float64     // of keys
+	base   float64       // load of each key beside what was measured
+	shares []*share
+	moves  []Move
+}
+
+// Plan returns the ranges that should go to other holders, in the order in
+// which they matter.
+func Plan(in Input) []Move {
+	p := &plan{in: in}
+	for _, u := range in.Upstreams {
+		if u.Capacity > 0 {
+			p.shares = append(p.shares, &share{Upstream: u})
+		}
+	}
+	if len(p.shares) == 0 {
+		return nil
+	}
+	slices.SortFunc(p.shares, func(a, b *share) int { return cmp.Compare(a.Upstream.Run.Upstream, b.Upstream.Run.Upstream) })
+	p.weigh()
+	orphans := p.hold()
+	p.place(orphans)
+	if in.Balance {
+		p.balance()
+	}
+	return p.moves
+}
+
+// weigh sorts the measured loads and works out that of a key without any.
+func (p *plan) weigh() {
+	for k := range p.in.Loads {
+		p.keys = append(p.keys, k)
+	}
+	slices.Sort(p.keys)
+	for _, k := range p.keys {
+		p.loads = append(p.loads, p.in.Loads[k])
+	}
+	total := 0.0
+	for _, s := range p.shares {
+		total += s.Capacity
+	}
+	p.base = baseLoad * total / float64(pimento.AllKeys.Len())
+}
+
+// load returns the load of a range.
+func (p *plan) load(r pimento.KeyRange) float64 {
+	sum := p.base * float64(r.Len())
+	i, _ := slices.BinarySearch(p.keys, r.From)
+	for ; i < len(p.keys) && p.keys[i] <= r.To; i++ {
+		sum += p.loads[i]
+	}
+	return sum
+}
+
+func (p *plan) share(r pimento.Run) *share {
+	i := slices.IndexFunc(p.shares, func(s *share) bool { return s.Run.Same(r) })
+	if i < 0 {
+		return nil
+	}
+	return p.shares[i]
+}
+
+// hold counts what each upstream holds and returns the ranges that need
+// another holder.
+func (p *plan) hold() []pimento.KeyRange {
+	var orphans []pimento.KeyRange
+	for _, h := range p.in.Holdings {
+		s := p.share(h.Holder)
+		if h.Orphan || s == nil {
+			if h.Movable {
+				orphans = append(orphans, h.KeyRange)
+			}
+			continue
+		}
+		s.load += p.load(h.KeyRange)
+		if h.Movable {
+			s.pieces = append(s.pieces, h.KeyRange)
+		}
+	}
+	return orphans
+}
+
+// mean returns the use that all upstreams would have if they shared evenly
+// what they hold and the extra load.
+func (p *plan) mean(extra float64) float64 {
+	load, capacity := extra, 0.0
+	for _, s := range p.shares {
+		load += s.load
+		capacity += s.Capacity
+	}
+	return load / capacity
+}
+
+// place deals out ranges without a holder: each goes to the upstream that
+// lacks most, as far as it lacks.
+func (p *plan) place(orphans []pimento.KeyRange) {
+	extra := 0.0
+	for _, r := range orphans {
+		extra += p.load(r)
+	}
+	mean := p.mean(extra)
+	for _, r := range orphans {
+		for {
+			to := slices.MaxFunc(p.shares, func(a, b *share) int {
+				return cmp.Compare(mean*a.Capacity-a.load, mean*b.Capacity-b.load)
+			})
+			piece, rest, more := p.cut(r, mean*to.Capacity-to.load)
+			to.load += p.load(piece)
+			p.moves = append(p.moves, Move{KeyRange: piece, Holder: to.Run})
+			if !more {
+				break
+			}
+			r = rest
+		}
+	}
+}
+
+// cut splits a range after the keys that carry at most the given load, at
+// least one.
+func (p *plan) cut(r pimento.KeyRange, load float64) (piece, rest pimento.KeyRange, more bool) {
+	if p.load(r) <= load*cutSlack || r.Len() == 1 {
+		return r, pimento.KeyRange{}, false
+	}
+	sum, k := 0.0, r.From
+	i, _ := slices.BinarySearch(p.keys, r.From)
+	for {
+		step := p.base
+		if i < len(p.keys) && p.keys[i] == k {
+			step += p.loads[i]
+			i++
+		}
+		if k > r.From && sum+step > load {
+			break
+		}
+		sum += step
+		if k+1 >= r.To {
+			break
+		}
+		k++
+	}
+	end := max(k, r.From+1) - 1
+	if k == r.From {
+		end = r.From
+	}
+	return pimento.KeyRange{From: r.From, To: end}, pimento.KeyRange{From: end + 1, To: r.To}, true
+}
+
+// cutSlack is how much more than it lacks an upstream takes before a range is
+// cut for it.
+const cutSlack = 1.05
+
+// balance moves narrow ranges from upstreams with too much load to those with
+// the least.
+func (p *plan) balance() {
+	mean := p.mean(0)
+	for range maxMoves {
+		from := slices.MaxFunc(p.shares, func(a, b *share) int { return cmp.Compare(a.use(), b.use()) })
+		to := slices.MinFunc(p.shares, func(a, b *share) int { return cmp.Compare(a.use(), b.use()) })
+		over := from.use() > max(calmUse, mean+excessUse)
+		empty := to.load == 0 && mean > 0 || to.use() < mean*fillUse && from.use() > mean+excessUse/2 && mean > calmUse/2
+		if from == to || !over && !empty {
+			return
+		}
+		want := min(from.load-mean*from.Capacity, mean*to.Capacity-to.load)
+		if to.load == 0 {
+			want = max(want, mean*to.Capacity/2)
+		}
+		if want < minLoad && to.load > 0 || !p.shift(from, to, want) {
+			return
+		}
+	}
+}
+
+// shift moves the narrowest range that carries about the wanted load, and
+// reports whether there is one.
+func (p *plan) shift(from, to *share, want float64) bool {
+	r, i, ok := p.narrowest(from, want)
+	if !ok {
+		return false
+	}
+	load := p.load(r)
+	if (to.load+load)/to.Capacity >= from.use() {
+		return false
+	}
+	from.load -= load
+	to.load += load
+	piece := from.pieces[i]
+	from.pieces = slices.Delete(from.pieces, i, i+1)
+	if piece.From < r.From {
+		from.pieces = append(from.pieces, pimento.KeyRange{From: piece.From, To: r.From - 1})
+	}
+	if r.To < piece.To {
+		from.pieces = append(from.pieces, pimento.KeyRange{From: r.To + 1, To: piece.To})
+	}
+	p.moves = append(p.moves, Move{KeyRange: r, Holder: to.Run})
+	return true
+}
+
+// narrowest returns the range within one piece of an upstream that carries at
+// most the wanted load, by the most load for each key. Where even the least
+// key carries more, that key is returned.
+func (p *plan) narrowest(from *share, want float64) (pimento.KeyRange, int, bool) {
+	var best pimento.KeyRange
+	bestPiece, bestScore := -1, 0.0
+	consider := func(r pimento.KeyRange, load float64, piece int) {
+		score := load * load / float64(r.Len()+narrowKeys)
+		if score > bestScore {
+			best, bestPiece, bestScore = r, piece, score
+		}
+	}
+	for n, piece := range from.pieces {
+		i, _ := slices.BinarySearch(p.keys, piece.From)
+		lo, sum := i, 0.0
+		for hi := i; hi < len(p.keys) && p.keys[hi] <= piece.To; hi++ {
+			sum += p.loads[hi]
+			for lo < hi && sum > want {
+				sum -= p.loads[lo]
+				lo++
+			}
+			if sum <= want || lo == hi && sum < 2*want {
+				consider(pimento.KeyRange{From: p.keys[lo], To: p.keys[hi]}, sum, n)
+			}
+		}
+		if p.load(piece) <= want {
+			consider(piece, p.load(piece), n)
+		}
+	}
+	if bestPiece < 0 && len(from.pieces) > 0 && want > 0 {
+		return p.part(from, want)
+	}
+	return best, bestPiece, bestPiece >= 0
+}
+
+// narrowKeys weighs the width of a range against the load that it carries.
+const narrowKeys = 64
+
+// part cuts a range without measured load from the widest piece.
+func (p *plan) part(from *share, want float64) (pimento.KeyRange, int, bool) {
+	n := 0
+	for i, r := range from.pieces {
+		if r.Len() > from.pieces[n].Len() {
+			n = i
+		}
+	}
+	piece, _, _ := p.cut(from.pieces[n], want)
+	return piece, n, true
+}
--- a/process.go
+++ b/process.go
@@ -18,6 +18,7 @@
 	Caller   netip.AddrPort // HTTP, for callers
 	Operator netip.AddrPort // HTTP, for operators
 	CertHash []byte         // SHA-256 of the process's certificate
+	Token    string         // what other processes show to speak to this one
 	Started  time.Time
 	Leaving  bool // a graceful shutdown has begun
 }
--- a/request.go
+++ b/request.go
@@ -48,6 +48,7 @@
 	ReasonMisdirected    Reason = "Misdirected"
 	ReasonOverloaded     Reason = "Overloaded"
 	ReasonShutdown       Reason = "Shutdown"
+	ReasonRetryBudget    Reason = "RetryBudget"
 )
 
 // Class orders requests that wait for the same upstream.
--- /dev/null
+++ b/router/handler.go
@@ -0,0 +1,34 @@
+package router
+
+import (
+	"pimentorelay.example/pimento/messenger"
+)
+
+// handler takes the messages of other processes.
+type handler Router
+
+var _ messenger.Handler = (*handler)(nil)
+
+// Handle implements messenger.Handler.
+func (h *handler) Handle(from *messenger.Link, m *messenger.Message, reply func(*messenger.Message)) {
+	switch {
+	case m.Acquire != nil && reply != nil:
+		h.admitter.HandleAcquire(from, m.Call, m.Acquire, reply)
+	case m.Done != nil:
+		h.admitter.HandleDone(m.Done)
+	case m.Ask != nil && reply != nil:
+		h.leader.HandleAsk(from.Peer.ID, m.Ask, reply)
+	case m.Vote != nil && reply != nil:
+		h.leader.HandleVote(m.Vote, reply)
+	case m.State != nil && reply != nil:
+		h.leader.HandleState(from.Peer.ID, m.State, reply)
+	case m.Join != nil:
+		h.leader.HandleJoin(m.Join.Process)
+	}
+}
+
+// Canceled implements messenger.Handler.
+func (h *handler) Canceled(from *messenger.Link, call uint64) { h.admitter.HandleCanceled(from, call) }
+
+// Closed implements messenger.Handler.
+func (h *handler) Closed(from *messenger.Link) { h.admitter.HandleClosed(from) }
--- a/router/router.go
+++ b/router/router.go
@@ -1,4 +1,11 @@
-// Package router is one process of pimentorelay on the platform.
+// Package router is one process of pimentorelay on the platform. It puts the
+// parts together as a supervisor tree, one goroutine a duty:
+//
+//	acceptor -> forwarder -> admitter -> connector -> upstream
+//	                            |  ^
+//	               permits of peers|  board
+//	                            v  |
+//	messenger <-> leader <-> follower <- store
 //
 // # Usage
 //
@@ -8,262 +15,161 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"io"
+	"fmt"
+	"math/rand/v2"
 	"net"
-	"net/http"
-	"sync"
+	"net/netip"
+	"strconv"
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
+	"github.com/thejerf/suture/v4"
 
 	"pimentorelay.example/pimento"
 	"pimentorelay.example/pimento/acceptor"
-	"pimentorelay.example/pimento/connector"
+	"pimentorelay.example/pimento/admitter"
+	"pimentorelay.example/pimento/elector"
 	"pimentorelay.example/pimento/forwarder"
+	"pimentorelay.example/pimento/keeper"
+	"pimentorelay.example/pimento/leader"
+	"pimentorelay.example/pimento/messenger"
 	"pimentorelay.example/pimento/platform"
+	"pimentorelay.example/pimento/recorder"
 )
 
 // Router is one process. Set the exported fields before Run.
 type Router struct {
 	Settings platform.Settings
 	Log      hclog.Logger
-
-	store   *platform.Store
-	view    atomic.Pointer[forwarder.View]
-	table   atomic.Pointer[table]
-	mu      sync.Mutex
-	clients map[pimento.UpstreamName]*connector.Client
-	running map[pimento.UpstreamName]int
-}
-
-type row struct {
-	Range KeyRange
-	Owner pimento.UpstreamName
-	Fence uint64
+	Metrics  netip.AddrPort // where metrics are served; zero: nowhere
+
+	self      pimento.Process
+	events    *recorder.Recorder
+	metrics   *metrics.Set
+	store     *platform.Store
+	registry  *platform.Registry
+	acceptor  *acceptor.Acceptor
+	admitter  *admitter.Admitter
+	messenger *messenger.Messenger
+	leader    *leader.Leader
+	follower  *follower
+	leaving   atomic.Bool
 }
 
-// KeyRange aliases the domain's type.
-type KeyRange = pimento.KeyRange
-
-type table struct {
-	Rows map[pimento.ServiceName][]row
-}
-
-// Run serves until ctx ends.
+// Run serves until ctx ends, and then finishes what is under way.
 func (r *Router) Run(ctx context.Context) error {
-	r.store = &platform.Store{Address: r.Settings.Store, HTTP: platform.NewHTTP()}
-	r.clients = make(map[pimento.UpstreamName]*connector.Client)
-	r.running = make(map[pimento.UpstreamName]int)
-	l, err := net.Listen("tcp", r.Settings.Caller.String())
+	r.assemble()
+	r.events.Emit(pimento.EventProcessStarted, "Host", r.self.Host, "Domain", r.self.Domain, "Peer", r.self.Peer)
+	listeners, err := r.listen()
 	if err != nil {
-		return err
+		return fmt.Errorf("Router.Run: %w", err)
 	}
-	ready, err := net.Listen("tcp", r.Settings.Ready.String())
-	if err != nil {
-		return err
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	tree := r.tree(listeners)
+	ended := tree.ServeBackground(running)
+	select {
+	case <-ctx.Done():
+	case err := <-ended:
+		return fmt.Errorf("Router.Run: %w", err)
 	}
-	go http.Serve(ready, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if r.view.Load() == nil {
-			w.WriteHeader(503)
-		}
-	}))
-	go r.followManifest(ctx)
-	go r.followServers(ctx)
-	go r.lead(ctx)
-	f := &forwarder.Forwarder{View: r.view.Load, Dispatch: r}
-	a := &acceptor.Acceptor{Handler: f, Wire: platform.Wire{}, Limits: func() pimento.Limits {
-		if v := r.view.Load(); v != nil {
-			return v.Manifest.Limits
-		}
-		m := pimento.Manifest{}
-		m.Defaults()
-		return m.Limits
-	}}
-	return a.Serve(ctx, l)
-}
-
-func (r *Router) followManifest(ctx context.Context) {
-	for ctx.Err() == nil {
-		e, err := r.store.Get(ctx, platform.KindManifest, platform.ManifestName)
-		if err == nil {
-			m, err := platform.DecodeManifest(e.Value)
-			if err == nil {
-				r.view.Store(&forwarder.View{Manifest: &m, Routes: pimento.NewRouteTable(m.Routes)})
-				if _, err := r.store.Watch(ctx, platform.KindManifest, e.Revision, 25*time.Second); err == nil {
-					continue
-				}
-			} else {
-				r.Log.Error("manifest", "err", err)
-			}
-		}
-		time.Sleep(300 * time.Millisecond)
+	r.shutDown()
+	stop()
+	if err := <-ended; err != nil && !errors.Is(err, context.Canceled) {
+		return fmt.Errorf("Router.Run: %w", err)
 	}
+	r.events.Emit(pimento.EventProcessStopped)
+	return nil
 }
 
-func (r *Router) followServers(ctx context.Context) {
-	for ctx.Err() == nil {
-		list, err := r.store.List(ctx, platform.KindServers, pimento.FreshnessLatest)
-		if err == nil {
-			now := time.Now()
-			next := make(map[pimento.UpstreamName]pimento.Server)
-			for _, e := range list.Entries {
-				s, err := platform.DecodeServer(e, now)
-				if err != nil {
-					r.Log.Warn("server", "err", err)
-					continue
-				}
-				if s.State == pimento.StateArriving {
-					next[s.Name] = s
-				}
-			}
-			r.mu.Lock()
-			for name, s := range next {
-				if _, ok := r.clients[name]; !ok {
-					r.clients[name] = &connector.Client{Server: s, Wire: platform.Wire{}}
-				}
-			}
-			for name := range r.clients {
-				if _, ok := next[name]; !ok {
-					delete(r.clients, name)
-				}
-			}
-			r.mu.Unlock()
-		} else {
-			r.Log.Warn("list", "err", err)
-		}
-		time.Sleep(500 * time.Millisecond)
+// assemble makes the parts.
+func (r *Router) assemble() {
+	s := r.Settings
+	r.self = pimento.Process{
+		ID: pimento.ProcessID(string(s.Host) + "-" + strconv.FormatUint(rand.Uint64(), 36)), Host: s.Host, Domain: s.Domain,
+		Peer: netip.AddrPortFrom(s.IP, s.FirstPort), Caller: s.Caller, Started: time.Now().Round(0),
+		Token: strconv.FormatUint(rand.Uint64(), 36) + strconv.FormatUint(rand.Uint64(), 36),
+	}
+	r.events = &recorder.Recorder{Process: r.self.ID, Log: r.Log}
+	r.metrics = metrics.NewSet()
+	r.store = &platform.Store{Address: s.Store, HTTP: platform.NewHTTP()}
+	r.registry = &platform.Registry{Store: r.store, OnFault: func(name string, err error) {
+		r.events.Emit(pimento.EventConfigInvalid, "Name", name, "Cause", err)
+	}}
+	r.messenger = &messenger.Messenger{Self: r.self, Handler: (*handler)(r)}
+	r.admitter = &admitter.Admitter{Self: r.self, Peers: r.messenger, Wire: platform.Wire{}, Bounds: admitter.Bounds{
+		RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack, RetryWindow: s.Bounds.RetryWindow,
+	}}
+	r.follower = &follower{router: r}
+	r.leader = &leader.Leader{
+		Self: r.self, Store: r.store, Registry: r.registry, Peers: r.messenger, Member: r.follower, Events: r.events,
+		Timing: elector.DefaultTiming(), Keys: keeper.DefaultTiming(s.Bounds.MaxHold), Client: r.admitter.Client,
+	}
+	r.leader.Init()
+	r.acceptor = &acceptor.Acceptor{
+		Handler: &forwarder.Forwarder{View: r.follower.view.Load, Dispatch: r.admitter},
+		Wire:    platform.Wire{}, Limits: r.follower.limits,
 	}
 }
 
-// lead lets the process that made the table renew the grants.
-func (r *Router) lead(ctx context.Context) {
-	mine := false
-	for ctx.Err() == nil {
-		time.Sleep(300 * time.Millisecond)
-		if r.table.Load() == nil {
-			e, err := r.store.Get(ctx, "relay-table", "main")
-			var missing *pimento.NotFoundError
-			if errors.As(err, &missing) {
-				mine = r.create(ctx) || mine
-				continue
-			}
-			if err != nil {
-				continue
-			}
-			var t table
-			if err := json.Unmarshal(e.Value, &t); err == nil {
-				r.table.Store(&t)
-			}
-			continue
-		}
-		if mine {
-			r.renew(ctx)
-			time.Sleep(700 * time.Millisecond)
-		}
-	}
+// listeners are the sockets of a process.
+type listeners struct {
+	peers   net.Listener
+	callers net.Listener
+	ready   net.Listener
+	metrics net.Listener // nil: none
 }
 
-func (r *Router) create(ctx context.Context) bool {
-	v := r.view.Load()
-	if v == nil {
-		return false
-	}
-	t := table{Rows: make(map[pimento.ServiceName][]row)}
-	r.mu.Lock()
-	for _, s := range v.Manifest.Services {
-		if s.Sharing != pimento.SharingKeyed {
+func (r *Router) listen() (listeners, error) {
+	var l listeners
+	var err error
+	for _, x := range []struct {
+		to      *net.Listener
+		address netip.AddrPort
+	}{{&l.peers, r.self.Peer}, {&l.callers, r.Settings.Caller}, {&l.ready, r.Settings.Ready}, {&l.metrics, r.Metrics}} {
+		if !x.address.IsValid() {
 			continue
 		}
-		var names []pimento.UpstreamName
-		for name, c := range r.clients {
-			if c.Server.Service == s.Name {
-				names = append(names, name)
-			}
+		if *x.to, err = net.Listen("tcp", x.address.String()); err != nil {
+			return l, err
 		}
-		for i, name := range names {
-			from, to := i*65536/len(names), (i+1)*65536/len(names)-1
-			t.Rows[s.Name] = append(t.Rows[s.Name], row{Range: KeyRange{From: pimento.Key(from), To: pimento.Key(to)}, Owner: name, Fence: 1})
-		}
-	}
-	r.mu.Unlock()
-	if len(t.Rows) == 0 {
-		return false
 	}
-	for _, rows := range t.Rows {
-		if len(rows) < 5 {
-			return false
-		}
-	}
-	text, err := json.Marshal(t)
-	if err != nil {
-		return false
-	}
-	if _, err := r.store.Create(ctx, pimento.Entry{Kind: "relay-table", Name: "main", Value: text}); err != nil {
-		r.Log.Warn("create", "err", err)
-		return false
-	}
-	return true
+	return l, nil
 }
 
-func (r *Router) renew(ctx context.Context) {
-	for _, rows := range r.table.Load().Rows {
-		for _, x := range rows {
-			r.mu.Lock()
-			c := r.clients[x.Owner]
-			r.mu.Unlock()
-			if c == nil {
-				continue
-			}
-			if err := c.Grant(ctx, pimento.KeyGrant{Range: x.Range, Fence: x.Fence, Hold: 4 * time.Second}); err != nil {
-				r.Log.Warn("grant", "err", err)
-			}
-		}
-	}
-}
-
-type permit struct {
-	r    *Router
-	c    *connector.Client
-	name pimento.UpstreamName
+// duty is one goroutine of the supervisor tree.
+type duty struct {
+	name string
+	run  func(ctx context.Context) error
 }
 
-// Acquire implements forwarder.Dispatcher.
-func (r *Router) Acquire(_ context.Context, q *pimento.Request, _ forwarder.Try) (forwarder.Permit, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var best pimento.UpstreamName
-	if t := r.table.Load(); t != nil && len(t.Rows[q.Service]) > 0 {
-		for _, x := range t.Rows[q.Service] {
-			if x.Range.Contains(q.Key) {
-				best = x.Owner
-			}
-		}
-	} else {
-		for name, c := range r.clients {
-			if c.Server.Service == q.Service && (best == "" || r.running[name] < r.running[best]) {
-				best = name
-			}
-		}
+// Serve implements suture.Service.
+func (d duty) Serve(ctx context.Context) error { return d.run(ctx) }
+
+// String names the duty in logs.
+func (d duty) String() string { return d.name }
+
+func (r *Router) tree(l listeners) *suture.Supervisor {
+	tree := suture.New("router", suture.Spec{EventHook: func(e suture.Event) {
+		r.events.Emit(pimento.EventDutyFailed, "Duty", e.String())
+	}})
+	for _, d := range []duty{
+		{"messages", func(ctx context.Context) error { return r.messenger.Run(ctx, l.peers) }},
+		{"permits", r.admitter.Run},
+		{"leader", r.leader.Run},
+		{"registration", r.register},
+		{"manifest", r.follower.followManifest},
+		{"state", r.follower.followState},
+		{"ready", func(ctx context.Context) error { return r.serveReady(ctx, l.ready) }},
+		{"callers", func(ctx context.Context) error { return r.acceptor.Serve(ctx, l.callers) }},
+	} {
+		tree.Add(d)
 	}
-	c := r.clients[best]
-	if c == nil {
-		return nil, pimento.NotRun(pimento.ReasonNoOwner, "no upstream")
+	if l.metrics != nil {
+		tree.Add(duty{"metrics", func(ctx context.Context) error { return r.serveMetrics(ctx, l.metrics) }})
 	}
-	r.running[best]++
-	return &permit{r: r, c: c, name: best}, nil
-}
-
-func (p *permit) Upstream() pimento.UpstreamName { return p.name }
-
-func (p *permit) Serve(ctx context.Context, q *pimento.Request, body io.Reader) (pimento.Answer, pimento.AnswerMark, error) {
-	return p.c.Serve(ctx, q, body)
-}
-
-func (p *permit) Done(error) {
-	p.r.mu.Lock()
-	defer p.r.mu.Unlock()
-	p.r.running[p.name]--
+	return tree
 }
--- /dev/null
+++ b/router/serve.go
@@ -0,0 +1,134 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/leader"
+	"pimentorelay.example/pimento/platform"
+)
+
+const (
+	// registerRetry is the time between two tries to register.
+	registerRetry = 200 * time.Millisecond
+	// headerTimeout bounds the head of a question for readiness or metrics.
+	headerTimeout = 2 * time.Second
+	// leavePause is how long a process that is to end still takes callers, so
+	// that the platform finds out that it is not ready.
+	leavePause = 2200 * time.Millisecond
+	// finishPause is the time between two looks at whether all is finished.
+	finishPause = 20 * time.Millisecond
+	// endMargin is how long before it would be killed a process ends.
+	endMargin = 300 * time.Millisecond
+)
+
+// register puts this process's entry into the store, over that of an earlier
+// run on this host, however long the store takes to answer.
+func (r *Router) register(ctx context.Context) error {
+	value, err := json.Marshal(r.self)
+	if err != nil {
+		return err
+	}
+	e := pimento.Entry{Kind: leader.KindProcesses, Name: string(r.self.Host), Value: value}
+	for ctx.Err() == nil {
+		if r.tryRegister(ctx, e) {
+			r.leader.StoreAnswered()
+			r.events.Emit(pimento.EventRegistered, "Process", r.self.ID)
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		sleep(ctx, registerRetry)
+	}
+	return ctx.Err()
+}
+
+// tryRegister makes one try and reports whether the entry stands.
+func (r *Router) tryRegister(ctx context.Context, e pimento.Entry) bool {
+	_, err := r.store.Create(ctx, e)
+	var exists *pimento.ExistsError
+	if err == nil {
+		return true
+	}
+	if !errors.As(err, &exists) {
+		return false
+	}
+	if string(exists.Current.Value) != "" {
+		var p pimento.Process
+		if json.Unmarshal(exists.Current.Value, &p) == nil && p.ID == r.self.ID {
+			return true // an earlier try took effect
+		}
+	}
+	e.Revision = exists.Current.Revision
+	_, err = r.store.Replace(ctx, e)
+	return err == nil
+}
+
+// isReady reports whether callers should come.
+func (r *Router) isReady() bool {
+	return !r.leaving.Load() && r.follower.view.Load() != nil && r.follower.knowsUpstreams()
+}
+
+func (f *follower) knowsUpstreams() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.versions.Upstreams > 0
+}
+
+// serveReady answers the platform's question whether callers may come.
+func (r *Router) serveReady(ctx context.Context, l net.Listener) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !r.isReady() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return serveHTTP(ctx, l, mux)
+}
+
+// serveMetrics shows counters and histograms.
+func (r *Router) serveMetrics(ctx context.Context, l net.Listener) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		r.metrics.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	return serveHTTP(ctx, l, mux)
+}
+
+func serveHTTP(ctx context.Context, l net.Listener, h http.Handler) error {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() { server.Close() })
+	defer stop()
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return ctx.Err()
+}
+
+// shutDown finishes what is under way before the process ends: it is not ready
+// any more, answers end their connections, and what it dispatches goes to the
+// next in line.
+func (r *Router) shutDown() {
+	r.events.Emit(pimento.EventProcessStopping)
+	r.leaving.Store(true)
+	r.leader.Leave()
+	r.acceptor.Drain()
+	begun := time.Now()
+	end := begun.Add(r.Settings.Bounds.Shutdown - endMargin)
+	for time.Now().Before(end) {
+		idle := r.acceptor.Active() == 0
+		late := time.Since(begun) > leavePause
+		if late && idle {
+			r.acceptor.CloseIdle()
+			return
+		}
+		time.Sleep(finishPause)
+	}
+}
--- /dev/null
+++ b/scheduler/speed.go
@@ -0,0 +1,154 @@
+package scheduler
+
+import (
+	"time"
+
+	"pimentorelay.example/pimento"
+)
+
+// ResultKind says how a request with a permit ended.
+type ResultKind string
+
+// The kinds of results.
+const (
+	ResultAnswered    ResultKind = "Answered"    // by the upstream, whole
+	ResultFailed      ResultKind = "Failed"      // the upstream answered that it failed
+	ResultRefused     ResultKind = "Refused"     // not run: the upstream is full or leaving
+	ResultMisdirected ResultKind = "Misdirected" // not run: it is not the holder
+	ResultUnreached   ResultKind = "Unreached"   // not run: no connection
+	ResultBroken      ResultKind = "Broken"      // the connection broke, or the answer was no answer
+	ResultTimeout     ResultKind = "Timeout"     // no answer in time
+	ResultCanceled    ResultKind = "Canceled"    // the caller left, or nothing is known
+)
+
+// Result is the end of a request with a permit.
+type Result struct {
+	Kind ResultKind
+	Took time.Duration // from sending it to the head of the answer
+	Load pimento.LoadReport
+	// HasLoad means that the answer bore a load report.
+	HasLoad bool
+	ColdFor time.Duration // that the upstream told; zero: not told
+}
+
+const (
+	// startWork is the time that a request is expected to take before any was
+	// measured.
+	startWork = 100 * time.Millisecond
+	// workShare and speedShare are the weights of a new measurement.
+	workShare  = 0.05
+	speedShare = 0.15
+	// maxFactor bounds how slow an upstream is believed to be.
+	maxFactor = 40
+	// minFactor bounds how fast an upstream is believed to be.
+	minFactor = 0.1
+)
+
+// work is how long the requests of a route take at an upstream of usual speed.
+type work struct {
+	mean  time.Duration
+	count int
+}
+
+func (w *work) add(d time.Duration) {
+	w.count++
+	share := max(workShare, 1/float64(w.count))
+	w.mean += time.Duration(share * float64(d-w.mean))
+}
+
+// speed is how slow an upstream is, 1 as usual.
+type speed struct {
+	factor float64
+	count  int
+}
+
+func (s *speed) value() float64 {
+	if s.count == 0 {
+		return 1
+	}
+	return s.factor
+}
+
+func (s *speed) add(f float64) {
+	f = min(max(f, minFactor), maxFactor)
+	s.count++
+	share := max(speedShare, 1/float64(s.count+1))
+	s.factor = s.value()*(1-share) + share*f
+}
+
+// workOf returns what the requests of a route take at usual speed.
+func (p *Pool) workOf(r pimento.RouteName) time.Duration {
+	if w, ok := p.works[r]; ok {
+		return w.mean
+	}
+	if len(p.works) == 0 {
+		return startWork
+	}
+	var sum time.Duration
+	for _, w := range p.works {
+		sum += w.mean
+	}
+	return sum / time.Duration(len(p.works))
+}
+
+// expected returns how long a request would take at an upstream. Work that
+// already takes longer than usual shows a slow upstream before its answers do.
+func (p *Pool) expected(now time.Time, t *Ticket, u *upstream) time.Duration {
+	f := u.speed.value()
+	for _, r := range u.running {
+		usual := p.workOf(r.ticket.Route)
+		if age := now.Sub(r.since); usual > 0 && age > usual*agedFactor {
+			f = max(f, float64(age)/float64(usual)/agedFactor)
+		}
+	}
+	if now.Before(u.cold.until) {
+		f *= coldSlowness
+	}
+	return time.Duration(float64(p.workOf(t.Route)) * min(f, maxFactor))
+}
+
+// agedFactor is how many times the usual time a request may take before it
+// says something of its upstream.
+const agedFactor = 3
+
+// learn takes in what the end of a request says of its upstream.
+func (p *Pool) learn(now time.Time, r *running, result Result) {
+	u := r.upstream
+	u.health.note(now, result.Kind)
+	if result.HasLoad {
+		u.load, u.loadAt = result.Load, now
+	}
+	if result.ColdFor > 0 {
+		u.cold.until = later(u.cold.until, now.Add(result.ColdFor))
+	}
+	if result.Kind != ResultAnswered || result.Took <= 0 {
+		return
+	}
+	w, ok := p.works[r.ticket.Route]
+	if !ok {
+		w = &work{}
+		p.works[r.ticket.Route] = w
+	}
+	if w.count > 0 && !now.Before(u.cold.until) {
+		u.speed.add(float64(result.Took) / float64(w.mean))
+	}
+	w.add(time.Duration(float64(result.Took) / u.speed.value()))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Capacities returns how many requests a second each usable upstream bears.
+func (p *Pool) Capacities(now time.Time) map[pimento.UpstreamName]float64 {
+	out := make(map[pimento.UpstreamName]float64, len(p.upstreams))
+	for name, u := range p.upstreams {
+		if u.Usable {
+			out[name] = p.throughput(now, &Ticket{}, u)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/scheduler/wait.go
@@ -0,0 +1,198 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"pimentorelay.example/pimento"
+)
+
+const (
+	// maxWaiting bounds the requests that wait in a pool.
+	maxWaiting = 2048
+	// minReturn and maxReturn bound what refused callers are told to wait.
+	minReturn = 50 * time.Millisecond
+	maxReturn = 3 * time.Second
+	// lateShare is the part of the time until its deadline within which a
+	// request that misses its goal must be expected to be served.
+	lateShare = 0.7
+	// moveWait is how long a key may be without a ready owner while its
+	// requests wait.
+	moveWait = 400 * time.Millisecond
+	// servedMargin is how much before its deadline a request must be expected
+	// to be answered.
+	servedMargin = 20 * time.Millisecond
+)
+
+// enqueue puts a request in line: those with more urgent routes first, then by
+// goal.
+func (p *Pool) enqueue(t *Ticket) {
+	i, _ := slices.BinarySearchFunc(p.waiting, t, before)
+	p.waiting = slices.Insert(p.waiting, i, t)
+}
+
+// before orders requests that wait.
+func before(a, b *Ticket) int {
+	if a.Priority != b.Priority {
+		return a.Priority - b.Priority
+	}
+	if c := a.GoalAt.Compare(b.GoalAt); c != 0 {
+		return c
+	}
+	if a.ID < b.ID {
+		return -1
+	}
+	return 1
+}
+
+// dispatch lets go what can go now. Requests that can no longer be answered
+// within their goal come after all others.
+func (p *Pool) dispatch(now time.Time) []Decision {
+	if len(p.waiting) == 0 {
+		return nil
+	}
+	var out []Decision
+	for _, late := range []bool{false, true} {
+		rest := p.waiting[:0]
+		for _, t := range p.waiting {
+			if p.isLate(now, t) != late {
+				rest = append(rest, t)
+				continue
+			}
+			u := p.place(now, t)
+			if u == nil {
+				rest = append(rest, t)
+				continue
+			}
+			p.start(now, t, u)
+			out = append(out, Decision{Ticket: t.ID, Upstream: u.Name})
+		}
+		p.waiting = rest
+	}
+	return out
+}
+
+// isLate reports whether a request would miss its goal even if it went now.
+func (p *Pool) isLate(now time.Time, t *Ticket) bool {
+	return now.Add(p.workOf(t.Route)).After(t.GoalAt)
+}
+
+// expire refuses requests that cannot be answered before their deadline.
+func (p *Pool) expire(now time.Time) []Decision {
+	var out []Decision
+	p.waiting = slices.DeleteFunc(p.waiting, func(t *Ticket) bool {
+		if now.Add(servedMargin).Before(t.Deadline) {
+			return false
+		}
+		out = append(out, Decision{Ticket: t.ID, Refusal: p.refuse(now, 0, "no upstream had room before the deadline")})
+		return true
+	})
+	return out
+}
+
+// refuse returns a refusal with a time after which there will be room, spread
+// so that those who return do not come as one wave.
+func (p *Pool) refuse(now time.Time, wait time.Duration, detail string) *pimento.OutcomeError {
+	out := pimento.NotRun(pimento.ReasonOverloaded, detail)
+	p.draws = p.draws*6364136223846793005 + 1442695040888963407
+	spread := 1 + float64(p.draws>>40)/float64(1<<24)/2
+	out.RetryAfter = time.Duration(spread * float64(min(max(wait, minReturn), maxReturn)))
+	return out
+}
+
+// turnAway returns the refusal of a request that cannot be served in time, nil
+// if it may wait.
+func (p *Pool) turnAway(now time.Time, t *Ticket) *pimento.OutcomeError {
+	if len(p.waiting) >= maxWaiting {
+		return p.refuse(now, maxReturn, "too many requests wait")
+	}
+	if p.config.Keyed {
+		return p.turnAwayKeyed(now, t)
+	}
+	wait, ok := p.waitFor(now, t)
+	if !ok {
+		return p.refuse(now, breakMost, "no upstream of the service can be reached")
+	}
+	return p.judge(now, t, wait, p.workOf(t.Route))
+}
+
+// judge refuses a request that would start after the given wait, if it could
+// not be answered within its goal nor, with some certainty, before its
+// deadline.
+func (p *Pool) judge(now time.Time, t *Ticket, wait, work time.Duration) *pimento.OutcomeError {
+	end := now.Add(wait + work)
+	if !end.After(t.GoalAt) {
+		return nil
+	}
+	left := time.Duration(lateShare * float64(t.Deadline.Sub(now)))
+	if wait == 0 && end.Before(t.Deadline) || wait+work < left {
+		return nil
+	}
+	back := wait - t.GoalAt.Sub(t.Arrived)/2
+	return p.refuse(now, back, fmt.Sprintf("room is expected only after %s", wait.Round(time.Millisecond)))
+}
+
+// waitFor estimates how long a request would wait in a pool without keys,
+// false if no upstream is usable.
+func (p *Pool) waitFor(now time.Time, t *Ticket) (time.Duration, bool) {
+	rate, usable := 0.0, false
+	for _, u := range p.upstreams {
+		if !u.Usable {
+			continue
+		}
+		if p.open(now, u) {
+			return 0, true
+		}
+		if u.health.breaks > 1 && now.Before(u.health.openAt) {
+			continue
+		}
+		usable = true
+		rate += p.throughput(now, t, u)
+	}
+	if !usable || rate == 0 {
+		return 0, false
+	}
+	ahead := 1
+	for _, o := range p.waiting {
+		if before(o, t) < 0 {
+			ahead++
+		}
+	}
+	return time.Duration(float64(ahead) / rate * float64(time.Second)), true
+}
+
+// throughput returns how many requests a second an upstream ends.
+func (p *Pool) throughput(now time.Time, t *Ticket, u *upstream) float64 {
+	if now.Before(u.cold.until) {
+		return max(p.config.ColdRate, 1)
+	}
+	return float64(u.Slots) / max(p.expected(now, t, u).Seconds(), 0.001)
+}
+
+// turnAwayKeyed is turnAway for a request that only one upstream may run.
+func (p *Pool) turnAwayKeyed(now time.Time, t *Ticket) *pimento.OutcomeError {
+	u, o := p.ownerOf(t.Key)
+	if u == nil || !o.Ready {
+		if wait := o.ReadyAt.Sub(now); wait > moveWait || o.Upstream == "" && o.ReadyAt.IsZero() {
+			return p.refuse(now, max(wait, moveWait), "nobody holds the key now")
+		}
+		if u == nil {
+			return nil
+		}
+	}
+	if u.health.breaks > 1 && now.Before(u.health.openAt) {
+		return p.refuse(now, u.health.openAt.Sub(now), "the holder of the key cannot be reached")
+	}
+	if p.open(now, u) {
+		return nil
+	}
+	ahead := 1
+	for _, x := range p.waiting {
+		if x, _ := p.owner(x.Key); x.Upstream == o.Upstream {
+			ahead++
+		}
+	}
+	wait := time.Duration(float64(ahead) / p.throughput(now, t, u) * float64(time.Second))
+	return p.judge(now, t, wait, p.expected(now, t, u))
+}
--- a/wire.go
+++ b/wire.go
@@ -18,6 +18,7 @@
 	Header     http.Header
 	BodyLength int64 // bytes, -1 if not known beforehand
 	Deadline   time.Time
+	GoalAt     time.Time // an answer until then has its full worth
 }
 
 // CallerWire translates between callers' messages and the domain.
