Let the leader watch manifests in short waits and push them to members

Ruled out: the decoding of manifests and the 410 path; no watch was ever answered with 410.

Now the leader watches for 1 and 1.5 s at a time and reads anew after any fault; members hear of manifests with the leader's questions, and read the store themselves only while they hear no leader that reaches it.

--- a/elector/machine.go
+++ b/elector/machine.go
@@ -231,6 +231,11 @@
 	return m.lacksLeader(now, m.timing.Suspect/2)
 }
 
+// IsLed reports whether this process hears a leader that reaches the store.
+func (m *Machine) IsLed(now time.Time) bool {
+	return m.term.Leader != "" && !m.Leads() && m.blindSince.IsZero() && now.Sub(m.heardAt) < 3*m.timing.Ask
+}
+
 func (m *Machine) lacksLeader(now time.Time, silence time.Duration) bool {
 	if m.term.Leader == "" {
 		return true
--- a/leader/ask.go
+++ b/leader/ask.go
@@ -23,15 +23,14 @@
 
 // member is what the leader knows of a process.
 type member struct {
-	process   pimento.Process
-	heardAt   time.Time
-	failures  int // questions without an answer, in a row
-	leaving   bool
-	askAt     time.Time
-	asking    bool
-	versions  messenger.Versions // that it has
-	pushing   bool
-	manifestV uint64
+	process  pimento.Process
+	heardAt  time.Time
+	failures int // questions without an answer, in a row
+	leaving  bool
+	askAt    time.Time
+	asking   bool
+	versions messenger.Versions // that it has
+	pushing  bool
 }
 
 // silent reports whether a member has not answered for too long.
@@ -107,9 +106,8 @@
 	if r.Versions.Epoch == l.elector.Term().Epoch {
 		m.versions = r.Versions
 	} else {
-		m.versions = messenger.Versions{}
+		m.versions = messenger.Versions{Manifest: r.Versions.Manifest}
 	}
-	m.manifestV = r.Versions.Manifest
 	l.elector.Answer(now, sentAt, m.process.ID, r.Epoch, r.Confirmed)
 	if l.lead != nil {
 		l.lead.takeReport(now, r.Loads, r.Speeds)
--- a/leader/grants.go
+++ b/leader/grants.go
@@ -153,7 +153,7 @@
 }
 
 func (l *Leader) healthPath(name pimento.ServiceName) string {
-	if m := l.Member.Manifest(); m != nil {
+	if m := l.manifest(); m != nil {
 		if s, ok := m.Service(name); ok && s.HealthPath != "" {
 			return s.HealthPath
 		}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -65,17 +65,18 @@
 	// Upstreams returns the registered upstreams. Their WarmAt is on the clock
 	// of timekeeper.
 	Upstreams(ctx context.Context) ([]pimento.Server, error)
-	// Out waits for the failure domains that are to get no work to differ
+	// Out waits until the failure domains that are to get no work may differ
 	// from those as of a revision; with zero it returns at once.
-	Out(ctx context.Context, after uint64) ([]pimento.DomainName, uint64, error)
+	Out(ctx context.Context, after uint64, wait time.Duration) (out []pimento.DomainName, changed bool, revision uint64, err error)
 }
 
 // Member is what the Leader needs of its own process as one that is led.
 type Member interface {
 	// Apply takes over parts of the state.
 	Apply(s *messenger.State)
-	// Manifest returns the manifest in force here, nil if none is known.
-	Manifest() *pimento.Manifest
+	// Manifest returns the manifest in force here, nil if none is known, and as
+	// it stands in the store.
+	Manifest() (*pimento.Manifest, []byte)
 	// Report returns what this process measured since the last report.
 	Report() ([]messenger.KeyLoad, []messenger.Speed)
 	// Versions returns the versions of the state known here.
@@ -100,6 +101,8 @@
 	elector *elector.Machine
 	keeper  *keeper.Machine
 	leaving atomic.Bool
+	leads   atomic.Bool
+	led     atomic.Bool
 	storeAt atomic.Int64 // when the store last answered, in Unix nanoseconds of timekeeper
 
 	// authority is the end of this process's authority, in Unix nanoseconds.
@@ -173,7 +176,14 @@
 }
 
 // storeFresh is how long ago the store may have answered to count as reached.
-const storeFresh = 1500 * time.Millisecond
+const storeFresh = 900 * time.Millisecond
+
+// Leads reports whether this process leads.
+func (l *Leader) Leads() bool { return l.leads.Load() }
+
+// IsLed reports whether this process leads, or hears a leader that reaches the
+// store and tells it what is new there.
+func (l *Leader) IsLed() bool { return l.Leads() || l.led.Load() }
 
 // noteStore records an answer of the store.
 func (l *Leader) noteStore() { l.storeAt.Store(timekeeper.Now().UnixNano()) }
@@ -208,6 +218,8 @@
 	now := timekeeper.Now()
 	l.elector.Tick(now, l.ended)
 	l.authority.Store(nanos(l.elector.AuthorityUntil()))
+	l.leads.Store(l.elector.Leads())
+	l.led.Store(l.elector.IsLed(now))
 	if l.elector.Leads() && l.lead == nil {
 		l.beginTerm(ctx, now)
 	}
@@ -304,3 +316,9 @@
 
 // jitter returns a random part of d.
 func jitter(d time.Duration) time.Duration { return rand.N(d) }
+
+// manifest returns the manifest in force here, nil if none is known.
+func (l *Leader) manifest() *pimento.Manifest {
+	m, _ := l.Member.Manifest()
+	return m
+}
--- a/leader/plan.go
+++ b/leader/plan.go
@@ -35,7 +35,7 @@
 // plan writes the next assignment if one is due.
 func (l *Leader) plan(now time.Time, in keeper.Input) {
 	t := l.lead
-	if t.upstreams.version == 0 || !l.HasAuthority() || l.Member.Manifest() == nil {
+	if t.upstreams.version == 0 || !l.HasAuthority() || l.manifest() == nil {
 		return
 	}
 	next := l.assignment.Clone()
@@ -97,7 +97,7 @@
 
 // sizes returns the services with the number of their upstreams.
 func (l *Leader) sizes() []appointer.Size {
-	m := l.Member.Manifest()
+	m := l.manifest()
 	if m == nil {
 		return nil
 	}
@@ -120,7 +120,7 @@
 func (l *Leader) planTables(now time.Time, in keeper.Input, next *pimento.Assignment) bool {
 	changed := false
 	balance := now.Sub(l.balancedAt) >= balancePause
-	for _, s := range l.Member.Manifest().Services {
+	for _, s := range l.manifest().Services {
 		if s.Sharing != pimento.SharingKeyed {
 			continue
 		}
--- a/leader/push.go
+++ b/leader/push.go
@@ -43,6 +43,7 @@
 	t.versions.Epoch = l.elector.Term().Epoch
 	t.versions.Assignment = l.revision
 	t.versions.Upstreams = t.upstreams.version
+	t.versions.Manifest = l.Member.Versions().Manifest
 	have := l.Member.Versions()
 	if state := l.lacking(have); state != nil {
 		l.Member.Apply(state)
@@ -63,7 +64,7 @@
 func (l *Leader) lacking(have messenger.Versions) *messenger.State {
 	t := l.lead
 	if have.Epoch != t.versions.Epoch {
-		have = messenger.Versions{}
+		have = messenger.Versions{Manifest: have.Manifest}
 	}
 	out := &messenger.State{Versions: t.versions}
 	some := false
@@ -76,6 +77,10 @@
 	if have.Owners < t.versions.Owners {
 		out.Owners, some = &messenger.OwnerList{Owners: t.owners}, true
 	}
+	if have.Manifest < t.versions.Manifest {
+		_, out.Manifest = l.Member.Manifest()
+		some = true
+	}
 	if !some {
 		return nil
 	}
--- a/leader/registry.go
+++ b/leader/registry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"time"
 
@@ -23,10 +22,11 @@
 	// lapseGrace is how long after the store's return such entries may be
 	// missing.
 	lapseGrace = 2300 * time.Millisecond
-	// outWait is how long one watch for failure domains taken out may wait.
-	outWait = 25 * time.Second
+	// outWait is how long one watch for failure domains taken out may wait. A
+	// watch may hear nothing though there are changes, so it is short.
+	outWait = 1500 * time.Millisecond
 	// outRetry is the time after such a watch that failed.
-	outRetry = 500 * time.Millisecond
+	outRetry = 300 * time.Millisecond
 )
 
 // registry is what is known of the upstreams.
@@ -175,28 +175,27 @@
 	}()
 }
 
-// followOut learns which failure domains are to get no work.
+// followOut learns which failure domains are to get no work. After any fault
+// it reads them anew.
 func (l *Leader) followOut(t *term) {
 	var after uint64
 	for t.ctx.Err() == nil {
-		out, revision, err := l.Registry.Out(t.ctx, after)
+		out, changed, revision, err := l.Registry.Out(t.ctx, after, outWait)
+		after = revision
 		if err != nil {
-			var gone *pimento.HistoryGoneError
-			if errors.As(err, &gone) {
-				after = 0
-			}
 			sleep(t.ctx, outRetry)
 			continue
 		}
 		l.noteStore()
-		after = revision
-		l.post(t.ctx, func() { t.upstreams.setOut(timekeeper.Now(), out, l.coldFor) })
+		if changed {
+			l.post(t.ctx, func() { t.upstreams.setOut(timekeeper.Now(), out, l.coldFor) })
+		}
 	}
 }
 
 // coldFor returns how long an upstream of a service is cold after its start.
 func (l *Leader) coldFor(name pimento.ServiceName) time.Duration {
-	m := l.Member.Manifest()
+	m := l.manifest()
 	if m == nil {
 		return 0
 	}
--- a/router/follower.go
+++ b/router/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,16 +12,24 @@
 	"pimentorelay.example/pimento/messenger"
 	"pimentorelay.example/pimento/platform"
 	"pimentorelay.example/pimento/scheduler"
+	"pimentorelay.example/pimento/timekeeper"
 )
 
 const (
-	// manifestWait is how long one watch for a manifest may wait.
-	manifestWait = 25 * time.Second
+	// manifestWait is how long one watch for a manifest may wait. A watch may
+	// hear nothing though there are changes, so it is short.
+	manifestWait = time.Second
 	// manifestRetry is the time after a watch that failed.
-	manifestRetry = 300 * time.Millisecond
+	manifestRetry = 250 * time.Millisecond
 	// manifestPause is the least time between two watches, so that manifests
 	// in quick succession cost few calls.
 	manifestPause = 150 * time.Millisecond
+	// ledPause is the time between two looks at whether a leader tells this
+	// process of manifests.
+	ledPause = 100 * time.Millisecond
+	// alonePause is the time between two readings of the state by a process
+	// that hears no leader.
+	alonePause = 500 * time.Millisecond
 )
 
 // follower holds what this process knows of the state that all share.
@@ -33,9 +40,11 @@
 
 	mu         sync.Mutex
 	versions   messenger.Versions
+	manifest   []byte // as it stands in the store
 	assignment *pimento.Assignment
 	upstreams  []scheduler.Upstream
 	owners     map[pimento.ServiceName][]scheduler.Owner
+	alone      bool // the upstreams were read from the store
 }
 
 // limits returns what callers may send.
@@ -49,11 +58,13 @@
 }
 
 // Manifest implements leader.Member.
-func (f *follower) Manifest() *pimento.Manifest {
+func (f *follower) Manifest() (*pimento.Manifest, []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if v := f.view.Load(); v != nil {
-		return v.Manifest
+		return v.Manifest, f.manifest
 	}
-	return nil
+	return nil, nil
 }
 
 // Versions implements leader.Member.
@@ -64,7 +75,9 @@
 }
 
 // Report implements leader.Member.
-func (f *follower) Report() ([]messenger.KeyLoad, []messenger.Speed) { return f.router.admitter.Report() }
+func (f *follower) Report() ([]messenger.KeyLoad, []messenger.Speed) {
+	return f.router.admitter.Report()
+}
 
 // Apply implements leader.Member.
 func (f *follower) Apply(s *messenger.State) {
@@ -88,6 +101,9 @@
 	}
 	board := f.board()
 	f.mu.Unlock()
+	if s.Manifest != nil {
+		f.takeManifest(s.Manifest)
+	}
 	f.router.admitter.Learn(board)
 }
 
@@ -131,27 +147,26 @@
 	return b
 }
 
-// followManifest learns manifests from the store until ctx ends.
+// followManifest learns manifests from the store until ctx ends. A process
+// that is led hears of them from its leader.
 func (f *follower) followManifest(ctx context.Context) error {
 	var revision uint64
-	for {
-		next, err := f.awaitManifest(ctx, revision)
-		if ctx.Err() != nil {
-			return ctx.Err()
+	for ctx.Err() == nil {
+		if f.router.leader.IsLed() && !f.router.leader.Leads() && f.view.Load() != nil {
+			revision = 0
+			sleep(ctx, ledPause)
+			continue
 		}
+		next, err := f.awaitManifest(ctx, revision)
+		revision = next
 		if err != nil {
-			var gone *pimento.HistoryGoneError
-			if errors.As(err, &gone) {
-				revision = 0
-				continue
-			}
 			sleep(ctx, manifestRetry)
 			continue
 		}
 		f.router.leader.StoreAnswered()
-		revision = next
 		sleep(ctx, manifestPause)
 	}
+	return ctx.Err()
 }
 
 // awaitManifest waits for a manifest after a revision and takes it over.
@@ -178,7 +193,7 @@
 		return
 	}
 	f.view.Store(&forwarder.View{Manifest: &m, Routes: pimento.NewRouteTable(m.Routes)})
-	f.versions.Manifest = m.Version
+	f.manifest, f.versions.Manifest = value, m.Version
 	board := f.board()
 	f.mu.Unlock()
 	f.router.events.Emit(pimento.EventManifestLearned, "Version", m.Version, "Routes", len(m.Routes), "Services", len(m.Services))
@@ -195,8 +210,40 @@
 	}
 }
 
-// followState keeps the state fresh where no leader does.
+// followState reads the state from the store as long as no leader tells it.
 func (f *follower) followState(ctx context.Context) error {
-	<-ctx.Done()
+	for ctx.Err() == nil {
+		sleep(ctx, alonePause)
+		if f.router.leader.IsLed() {
+			continue
+		}
+		f.readState(ctx)
+	}
 	return ctx.Err()
 }
+
+// readState reads upstreams and failure domains from the store. What a leader
+// said of keys stays: an upstream refuses what it does not hold.
+func (f *follower) readState(ctx context.Context) {
+	servers, err := f.router.registry.Upstreams(ctx)
+	if err != nil {
+		return // the next try comes soon
+	}
+	out, _, _, err := f.router.registry.Out(ctx, 0, 0)
+	if err != nil {
+		return
+	}
+	f.router.leader.StoreAnswered()
+	now := timekeeper.Now()
+	list := &messenger.UpstreamList{Out: out}
+	for _, s := range servers {
+		u := messenger.Upstream{Server: s, ColdFor: max(0, s.WarmAt.Sub(now))}
+		list.Upstreams = append(list.Upstreams, u)
+	}
+	f.mu.Lock()
+	f.upstreams, f.versions.Upstreams = upstreams(time.Now(), list), 0
+	f.alone = true
+	board := f.board()
+	f.mu.Unlock()
+	f.router.admitter.Learn(board)
+}
--- a/router/serve.go
+++ b/router/serve.go
@@ -78,7 +78,7 @@
 func (f *follower) knowsUpstreams() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.versions.Upstreams > 0
+	return f.versions.Upstreams > 0 || f.alone
 }
 
 // serveReady answers the platform's question whether callers may come.
