Replace confirmers that ended without authority, and let new processes join

Ruled out: the election after the fault itself (a new leader within 0.4 s in the logs).

Now a leader without authority may write the next term (the conditional write decides), a confirmer silent for 2 s is replaced where another can confirm, and a new process tells the leader of itself instead of being found by a reading every 2 s. In a shutdown the last request that is read ends its connection.

--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -153,7 +153,7 @@
 
 // exchange turns a parsed message into a request with its answer to come.
 func (c *conn) exchange(req *http.Request, arrived time.Time, limits pimento.Limits) *exchange {
-	x := &exchange{conn: c, last: req.Close || !req.ProtoAtLeast(1, 1), method: req.Method, turn: make(chan struct{})}
+	x := &exchange{conn: c, last: req.Close || !req.ProtoAtLeast(1, 1) || c.a.draining.Load(), method: req.Method, turn: make(chan struct{})}
 	r := &pimento.Request{
 		Method: req.Method, Path: req.RequestURI, Host: req.Host, Header: req.Header, BodyLength: req.ContentLength,
 	}
--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -129,14 +129,15 @@
 }
 
 // isLast reports whether the process is shutting down and no other request
-// waits on the connection.
+// waits on the connection. One that was read since then is marked as the last
+// by the reader, so that a caller that keeps sending is not served for ever.
 func (c *conn) isLast() bool {
 	if !c.a.draining.Load() {
 		return false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.pending <= 1 && c.r.Buffered() == 0
+	return c.pending <= 1
 }
 
 // finish ends the connection after its last answer. The reader drops what
--- a/event.go
+++ b/event.go
@@ -26,6 +26,7 @@
 	EventWriteUncertain   EventNumber = 2012
 	EventWriteConflict    EventNumber = 2013
 	EventManifestLearned  EventNumber = 2014
+	EventJoinFailed       EventNumber = 2015
 	EventAuthorityGained  EventNumber = 3001
 	EventAuthorityLost    EventNumber = 3002
 	EventProcessSuspected EventNumber = 3003
@@ -67,6 +68,7 @@
 	EventWriteUncertain:   "write of the assignment gave no answer",
 	EventWriteConflict:    "assignment was written by another process",
 	EventManifestLearned:  "manifest learned",
+	EventJoinFailed:       "the leader could not be told of this process",
 	EventAuthorityGained:  "authority gained",
 	EventAuthorityLost:    "authority lost",
 	EventProcessSuspected: "process suspected",
--- a/leader/ask.go
+++ b/leader/ask.go
@@ -147,6 +147,30 @@
 	}
 }
 
+// join tells the leader of this process as long as it does not ask.
+func (l *Leader) join(ctx context.Context, now time.Time) {
+	if l.elector.IsLed(now) || l.assignment == nil || now.Before(l.joinAt) || l.leaving.Load() {
+		return
+	}
+	to, ok := l.assignment.Member(l.elector.Term().Leader)
+	if !ok || to.ID == l.Self.ID || l.ended(to.ID) {
+		return
+	}
+	l.joinAt = now.Add(joinRetry)
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, voteTimeout)
+		defer cancel()
+		// One that is not heard is tried again, or stands itself.
+		if err := l.Peers.Send(ctx, to.Process, &messenger.Message{Join: &messenger.Join{Process: l.Self}}); err != nil {
+			l.Events.Emit(pimento.EventJoinFailed, "Leader", to.ID, "Cause", err)
+		}
+	}()
+}
+
+// joinRetry is the time between two messages to a leader that does not ask
+// this process.
+const joinRetry = 300 * time.Millisecond
+
 // HandleJoin takes a process that is not a member yet.
 func (l *Leader) HandleJoin(p pimento.Process) {
 	l.inbox <- func() {
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -57,6 +57,7 @@
 // Peers calls other processes.
 type Peers interface {
 	Call(ctx context.Context, to pimento.Process, m *messenger.Message) (*messenger.Message, error)
+	Send(ctx context.Context, to pimento.Process, m *messenger.Message) error
 	Forget(id pimento.ProcessID)
 }
 
@@ -113,6 +114,7 @@
 	registered map[pimento.HostName]registeredProcess // as last read from the store
 	assignment *pimento.Assignment                    // as it stands in the store, as far as known
 	revision   uint64                                 // of the assignment
+	joinAt     time.Time                              // when to join the leader next
 	termAt     time.Time                              // when the confirmers last changed
 	balancedAt time.Time                              // when keys last moved for balance
 	lead       *term                                  // nil unless this process leads
@@ -233,6 +235,7 @@
 	if l.elector.MayStand(now, l.ended) && !l.leaving.Load() {
 		l.stand(ctx, now)
 	}
+	l.join(ctx, now)
 }
 
 func nanos(t time.Time) int64 {
--- a/leader/plan.go
+++ b/leader/plan.go
@@ -22,6 +22,9 @@
 	dirtyPause = 300 * time.Millisecond
 	// termPause is the least time between two changes of the confirmers.
 	termPause = time.Second
+	// confirmerSilence is how long a confirmer may be silent before another
+	// takes its place.
+	confirmerSilence = 2 * time.Second
 	// coldPart is the part of what a cold upstream bears that keys are given
 	// to it for.
 	coldPart = 0.5
@@ -35,16 +38,18 @@
 // plan writes the next assignment if one is due.
 func (l *Leader) plan(now time.Time, in keeper.Input) {
 	t := l.lead
-	if t.upstreams.version == 0 || !l.HasAuthority() || l.manifest() == nil {
-		return
-	}
 	next := l.assignment.Clone()
 	changed := l.planTerm(now, &next)
+	if !changed && (t.upstreams.version == 0 || !l.HasAuthority() || l.manifest() == nil) {
+		return
+	}
 	next.Members = l.membersFor(&next, func(id pimento.ProcessID) bool { return l.isIdle(now, id) })
 	changed = changed || !slices.EqualFunc(next.Members, l.assignment.Members, sameMember)
 	next.Pools = appointer.Lines(next.Pools, l.sizes(), next.Members)
 	changed = changed || !slices.EqualFunc(next.Pools, l.assignment.Pools, samePool)
-	changed = l.planTables(now, in, &next) || changed
+	if t.upstreams.version > 0 && l.HasAuthority() && l.manifest() != nil {
+		changed = l.planTables(now, in, &next) || changed
+	}
 	changed = l.dropFormer(now, &next) || changed
 	if !changed {
 		return
@@ -77,17 +82,23 @@
 	return !ok || m.silent(now) || m.leaving
 }
 
-// planTerm replaces the confirmers if some have ended or others could help.
+// planTerm replaces the confirmers if some have ended or others could help. It
+// needs no authority: where too many confirmers have ended, this is how the
+// leader gets it back.
 func (l *Leader) planTerm(now time.Time, next *pimento.Assignment) bool {
 	t := l.elector.Term()
 	if now.Sub(l.termAt) < termPause {
 		return false
 	}
-	live := l.live(now)
-	gone := slices.ContainsFunc(t.Confirmers, l.ended)
-	wanted := l.elector.Next(live, l.ended)
-	grows := len(wanted.Confirmers) > len(t.Confirmers)
-	if !gone && !grows {
+	wanted := l.elector.Next(l.live(now), l.ended)
+	present := 0
+	for _, id := range t.Confirmers {
+		m, ok := l.lead.members[id]
+		if id == l.Self.ID || ok && now.Sub(m.heardAt) < confirmerSilence {
+			present++
+		}
+	}
+	if len(wanted.Confirmers) <= present {
 		return false
 	}
 	l.termAt = now
--- a/leader/stand.go
+++ b/leader/stand.go
@@ -255,7 +255,7 @@
 	}
 	e := pimento.Entry{Kind: KindAssignment, Name: AssignmentName, Revision: based, Value: value}
 	go func() {
-		for ctx.Err() == nil {
+		for tries := 0; ctx.Err() == nil; tries++ {
 			sentAt := timekeeper.Now()
 			s, won, err := l.tryWrite(ctx, e, next.Write)
 			if err == nil {
@@ -267,7 +267,9 @@
 				})
 				return
 			}
-			l.Events.Emit(pimento.EventWriteUncertain, "Epoch", next.Term.Epoch, "Revision", based, "Cause", err)
+			if tries == 0 {
+				l.Events.Emit(pimento.EventWriteUncertain, "Epoch", next.Term.Epoch, "Revision", based, "Cause", err)
+			}
 			sleep(ctx, writeRetry)
 		}
 	}()
