--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -16,7 +16,8 @@
 //	a := &acceptor.Acceptor{Handler: h, Wire: platform.Wire{}, Limits: limits}
 //	go a.Serve(ctx, listener)
 //	a.Drain()      // answers now end their connections
-//	a.Wait(ctx)    // until no request is left
+//	a.Refuse()     // nothing new is taken
+//	for a.Active() > 0 { ... }
 package acceptor
 
 import (
@@ -65,8 +66,10 @@
 	OnRefused func(r *pimento.Request, out *pimento.OutcomeError)
 
 	mu       sync.Mutex
+	listener net.Listener
 	conns    map[*conn]bool
 	draining atomic.Bool
+	refusing atomic.Bool
 	active   atomic.Int64 // requests without a whole answer
 }
 
@@ -74,11 +77,18 @@
 func (a *Acceptor) Serve(ctx context.Context, l net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { l.Close() })
 	defer stop()
+	a.mu.Lock()
+	a.listener = l
+	a.mu.Unlock()
 	for {
 		raw, err := l.Accept()
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
+		if errors.Is(err, net.ErrClosed) && a.refusing.Load() {
+			<-ctx.Done()
+			return ctx.Err()
+		}
 		if errors.Is(err, net.ErrClosed) {
 			return err
 		}
@@ -114,10 +124,15 @@
 // waits behind it.
 func (a *Acceptor) Drain() { a.draining.Store(true) }
 
-// CloseIdle closes the connections on which no request runs.
-func (a *Acceptor) CloseIdle() {
+// Refuse takes no more connections and closes those on which no request runs.
+// What was taken before is still answered.
+func (a *Acceptor) Refuse() {
+	a.refusing.Store(true)
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.listener != nil {
+		a.listener.Close()
+	}
 	for c := range a.conns {
 		c.closeIdle()
 	}
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -28,8 +28,9 @@
 	ended  chan struct{}  // closed when the writer has ended
 
 	mu      sync.Mutex
-	pending int // requests in queue or being answered
-	closing bool
+	pending int  // requests in queue or being answered
+	closing bool // the last answer is out
+	refused bool // no request is to follow
 }
 
 func newConn(ctx context.Context, a *Acceptor, raw net.Conn) *conn {
@@ -120,15 +121,35 @@
 		if err == nil {
 			return true
 		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return false
+		}
 		c.mu.Lock()
-		busy := c.pending > 0 && !c.closing
+		answered, refused, busy := c.closing, c.refused, c.pending > 0
 		c.mu.Unlock()
-		if !busy || !errors.Is(err, os.ErrDeadlineExceeded) {
+		if refused && !answered && !busy {
+			return c.lastByte()
+		}
+		if answered || !busy {
 			return false
 		}
 	}
 }
 
+// lastByte looks once more for a request that has arrived on a connection that
+// is to be closed, since a read deadline ends a wait before such bytes are
+// seen.
+func (c *conn) lastByte() bool {
+	if err := c.raw.SetReadDeadline(time.Now().Add(lastByteTimeout)); err != nil {
+		return false
+	}
+	_, err := c.r.Peek(1)
+	return err == nil
+}
+
+// lastByteTimeout bounds that look. It leaves time for one wake-up.
+const lastByteTimeout = 5 * time.Millisecond
+
 // faulty answers a header that could not be read.
 func (c *conn) faulty(err error) bool {
 	reason := pimento.ReasonBadRequest
@@ -208,8 +229,8 @@
 func (c *conn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.refused = true
 	if c.pending == 0 {
-		c.closing = true
 		// A read deadline in the past ends the wait for a next request.
 		if err := c.raw.SetReadDeadline(time.Unix(1, 0)); err != nil {
 			c.raw.Close()
--- a/leader/registry.go
+++ b/leader/registry.go
@@ -35,6 +35,7 @@
 	goneAt  map[pimento.UpstreamName]time.Time // when an entry was first missing
 	lastRun map[pimento.UpstreamName]time.Time // latest start that was seen
 	out     []pimento.DomainName
+	outRead bool // out was read once
 	coldTo  map[pimento.UpstreamName]time.Time // cold since their domain came back
 	readAt  time.Time
 	graceTo time.Time
@@ -49,6 +50,8 @@
 		r.known = make(map[pimento.UpstreamName]pimento.Server)
 		r.goneAt = make(map[pimento.UpstreamName]time.Time)
 		r.lastRun = make(map[pimento.UpstreamName]time.Time)
+	}
+	if r.coldTo == nil {
 		r.coldTo = make(map[pimento.UpstreamName]time.Time)
 	}
 	if !r.readAt.IsZero() && startedAt.Sub(r.readAt) > outageAfter {
@@ -79,17 +82,24 @@
 // setOut replaces the failure domains that get no work. Upstreams of one that
 // comes back may be cold.
 func (r *registry) setOut(now time.Time, out []pimento.DomainName, cold func(pimento.ServiceName) time.Duration) {
+	if r.coldTo == nil {
+		r.coldTo = make(map[pimento.UpstreamName]time.Time)
+	}
 	for name, s := range r.known {
 		if slices.Contains(r.out, s.Domain) && !slices.Contains(out, s.Domain) {
 			r.coldTo[name] = now.Add(cold(s.Service))
 		}
 	}
-	r.out = out
+	r.out, r.outRead = out, true
 	r.changed()
 }
 
-// changed raises the version if there is something new to send.
+// changed raises the version if there is something new to send. Nothing is
+// known before both upstreams and failure domains were read.
 func (r *registry) changed() {
+	if r.readAt.IsZero() || !r.outRead {
+		return
+	}
 	list := r.list()
 	same := slices.EqualFunc(list, r.sent, func(a, b pimento.Server) bool {
 		return a.Name == b.Name && a.Address == b.Address && a.State == b.State && a.Started.Equal(b.Started) &&
--- a/router/serve.go
+++ b/router/serve.go
@@ -112,23 +112,28 @@
 	return ctx.Err()
 }
 
-// shutDown finishes what is under way before the process ends: it is not ready
-// any more, answers end their connections, and what it dispatches goes to the
-// next in line.
+// shutDown finishes what is under way before the process ends. It is not ready
+// any more and its answers end their connections; once the platform must have
+// noticed, it takes nothing new.
 func (r *Router) shutDown() {
 	r.events.Emit(pimento.EventProcessStopping)
 	r.leaving.Store(true)
 	r.leader.Leave()
 	r.acceptor.Drain()
 	begun := time.Now()
+	time.Sleep(min(leavePause, r.Settings.Bounds.Shutdown/3))
+	r.acceptor.Refuse()
 	end := begun.Add(r.Settings.Bounds.Shutdown - endMargin)
-	for time.Now().Before(end) {
-		idle := r.acceptor.Active() == 0
-		late := time.Since(begun) > leavePause
-		if late && idle {
-			r.acceptor.CloseIdle()
-			return
+	quietAt := time.Now()
+	for now := time.Now(); now.Before(end) && now.Sub(quietAt) < lastPause; now = time.Now() {
+		if r.acceptor.Active() > 0 {
+			quietAt = now
 		}
 		time.Sleep(finishPause)
 	}
 }
+
+// lastPause is how long a process stays after its last answer: a request may
+// have arrived that it has not read yet, and the bytes of an answer must
+// arrive before their connection is reset.
+const lastPause = 500 * time.Millisecond
