Tell members only what changed

Now members get the roster instead of the assignment, owners and upstreams as what changed since they last answered, owners only where a process is in a line; the end of a cold start no longer flaps with the age of its entry.

--- a/leader/ask.go
+++ b/leader/ask.go
@@ -30,6 +30,7 @@
 	askAt    time.Time
 	asking   bool
 	versions messenger.Versions // that it has
+	told     snapshot
 	pushing  bool
 }
 
@@ -103,9 +104,11 @@
 // hear takes the answer of a member.
 func (l *Leader) hear(now, sentAt time.Time, m *member, r *messenger.AskReply) {
 	m.heardAt, m.failures, m.leaving = now, 0, r.Leaving
-	if r.Versions.Epoch == l.elector.Term().Epoch {
+	switch {
+	case m.pushing: // what it says may be older than what is on its way
+	case r.Versions.Epoch == l.elector.Term().Epoch:
 		m.versions = r.Versions
-	} else {
+	default:
 		m.versions = messenger.Versions{Manifest: r.Versions.Manifest}
 	}
 	l.elector.Answer(now, sentAt, m.process.ID, r.Epoch, r.Confirmed)
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -131,6 +131,8 @@
 	speeds    map[pimento.UpstreamName]float64 // requests a second
 	versions  messenger.Versions
 	owners    []messenger.Owner
+	roster    *messenger.Roster
+	own       snapshot                                // as this process itself was told
 	runs      map[pimento.UpstreamName]pimento.Server // last known addresses
 	queues    map[pimento.UpstreamName]*queue
 	probing   map[pimento.UpstreamName]bool
--- a/leader/registry.go
+++ b/leader/registry.go
@@ -35,7 +35,7 @@
 	goneAt  map[pimento.UpstreamName]time.Time // when an entry was first missing
 	lastRun map[pimento.UpstreamName]time.Time // latest start that was seen
 	out     []pimento.DomainName
-	outRead bool // out was read once
+	outRead bool                               // out was read once
 	coldTo  map[pimento.UpstreamName]time.Time // cold since their domain came back
 	readAt  time.Time
 	graceTo time.Time
@@ -61,6 +61,9 @@
 	next := make(map[pimento.UpstreamName]pimento.Server, len(list))
 	addresses := make(map[string]bool, len(list))
 	for _, s := range list {
+		if old, ok := r.known[s.Name]; ok {
+			s.WarmAt = warmAt(old, s)
+		}
 		next[s.Name] = s
 		addresses[s.Address.String()] = true
 		if s.Started.After(r.lastRun[s.Name]) {
@@ -101,21 +104,38 @@
 		return
 	}
 	list := r.list()
-	same := slices.EqualFunc(list, r.sent, func(a, b pimento.Server) bool {
-		return a.Name == b.Name && a.Address == b.Address && a.State == b.State && a.Started.Equal(b.Started) &&
-			a.Slots == b.Slots && a.Domain == b.Domain && a.WarmAt.Sub(b.WarmAt).Abs() < warmSlack
-	})
-	if same && slices.Equal(r.out, r.sentOut) && r.version > 0 {
+	if slices.EqualFunc(list, r.sent, sameServer) && slices.Equal(r.out, r.sentOut) && r.version > 0 {
 		return
 	}
 	r.version++
 	r.sent, r.sentOut = list, slices.Clone(r.out)
 }
 
+// sameServer reports whether two descriptions of an upstream tell the same.
+func sameServer(a, b pimento.Server) bool {
+	return a.Name == b.Name && a.Address == b.Address && a.State == b.State && a.Started.Equal(b.Started) &&
+		a.Slots == b.Slots && a.Domain == b.Domain && a.WarmAt.Sub(b.WarmAt).Abs() < warmSlack
+}
+
 // warmSlack is by how much the reported end of a cold start may differ without
 // being news.
 const warmSlack = 300 * time.Millisecond
 
+// reportAge is how old what an entry says of a cold start may be.
+const reportAge = 2500 * time.Millisecond
+
+// warmAt returns when an upstream is warm, from the present reading and the
+// one before. An entry says how long the upstream was cold when it was
+// written, so the earliest reading of a run is the truest, unless the upstream
+// has become cold again.
+func warmAt(old, s pimento.Server) time.Time {
+	again := s.WarmAt.Sub(old.WarmAt) > reportAge
+	if s.Started.Equal(old.Started) && !again && old.WarmAt.Before(s.WarmAt) {
+		return old.WarmAt
+	}
+	return s.WarmAt
+}
+
 // list returns the upstreams in order of their names.
 func (r *registry) list() []pimento.Server {
 	out := make([]pimento.Server, 0, len(r.known))
@@ -146,13 +166,23 @@
 	return ok && last.After(run.Started)
 }
 
-// message returns the upstreams for the members.
-func (r *registry) message(now time.Time) *messenger.UpstreamList {
-	out := &messenger.UpstreamList{Out: slices.Clone(r.out)}
-	for _, s := range r.list() {
-		u := messenger.Upstream{Server: s, ColdFor: max(0, s.WarmAt.Sub(now))}
-		u.WarmAt = time.Time{}
-		out.Upstreams = append(out.Upstreams, u)
+// message returns the upstreams for a member that was told of some before.
+func (r *registry) message(now time.Time, told []pimento.Server) *messenger.UpstreamList {
+	out := &messenger.UpstreamList{Whole: told == nil, Out: r.sentOut}
+	before := make(map[pimento.UpstreamName]pimento.Server, len(told))
+	for _, s := range told {
+		before[s.Name] = s
+	}
+	for _, s := range r.sent {
+		if old, ok := before[s.Name]; !ok || !sameServer(old, s) {
+			u := messenger.Upstream{Server: s, ColdFor: max(0, s.WarmAt.Sub(now))}
+			u.WarmAt = time.Time{}
+			out.Upstreams = append(out.Upstreams, u)
+		}
+		delete(before, s.Name)
+	}
+	for name := range before {
+		out.Gone = append(out.Gone, name)
 	}
 	return out
 }
--- a/messenger/state.go
+++ b/messenger/state.go
@@ -17,11 +17,11 @@
 // Versions are those of the parts of the state. A part is the newer the higher
 // its version; the versions of one leader only grow.
 type Versions struct {
-	Epoch      uint64
-	Assignment uint64 // revision in the store
-	Upstreams  uint64
-	Owners     uint64
-	Manifest   uint64
+	Epoch     uint64
+	Roster    uint64
+	Upstreams uint64
+	Owners    uint64
+	Manifest  uint64
 }
 
 // AskReply is the answer of a member.
@@ -54,19 +54,29 @@
 	Lacks bool   // the answer
 }
 
-// State carries the parts of the state that a member lacks.
+// State carries the parts of the state that a member lacks. What a part says
+// replaces what was said before of the same things; a part that is Whole
+// replaces all.
 type State struct {
-	Versions   Versions
-	Assignment *pimento.Assignment
-	Upstreams  *UpstreamList
-	Owners     *OwnerList
-	Manifest   []byte // as it stands in the store
+	Versions  Versions
+	Roster    *Roster
+	Upstreams *UpstreamList
+	Owners    *OwnerList
+	Manifest  []byte // as it stands in the store
+}
+
+// Roster is which processes there are and which of them dispatch.
+type Roster struct {
+	Processes []pimento.Process
+	Pools     []pimento.Pool
 }
 
-// UpstreamList is all upstreams that are registered.
+// UpstreamList is what is new of the registered upstreams.
 type UpstreamList struct {
+	Whole     bool
 	Upstreams []Upstream
-	Out       []pimento.DomainName // failure domains that get no work
+	Gone      []pimento.UpstreamName
+	Out       []pimento.DomainName // all failure domains that get no work
 }
 
 // Upstream is one upstream. Its WarmAt is not sent, since clocks differ.
@@ -75,8 +85,9 @@
 	ColdFor time.Duration // how long it stays cold
 }
 
-// OwnerList is which upstream has which keys now.
+// OwnerList is what is new of which upstream has which keys.
 type OwnerList struct {
+	Whole  bool
 	Owners []Owner
 }
 
--- a/router/follower.go
+++ b/router/follower.go
@@ -1,7 +1,10 @@
 package router
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,13 +41,14 @@
 
 	view atomic.Pointer[forwarder.View]
 
-	mu         sync.Mutex
-	versions   messenger.Versions
-	manifest   []byte // as it stands in the store
-	assignment *pimento.Assignment
-	upstreams  []scheduler.Upstream
-	owners     map[pimento.ServiceName][]scheduler.Owner
-	alone      bool // the upstreams were read from the store
+	mu        sync.Mutex
+	versions  messenger.Versions
+	manifest  []byte // as it stands in the store
+	roster    *messenger.Roster
+	upstreams map[pimento.UpstreamName]pimento.Server
+	out       []pimento.DomainName // that get no work
+	owners    map[pimento.ServiceName][]scheduler.Owner
+	alone     bool // the upstreams were read from the store
 }
 
 // limits returns what callers may send.
@@ -90,14 +94,16 @@
 	if s.Versions.Epoch > f.versions.Epoch {
 		f.versions = messenger.Versions{Epoch: s.Versions.Epoch, Manifest: f.versions.Manifest}
 	}
-	if s.Assignment != nil && s.Versions.Assignment > f.versions.Assignment {
-		f.assignment, f.versions.Assignment = s.Assignment, s.Versions.Assignment
+	if s.Roster != nil {
+		f.roster, f.versions.Roster = s.Roster, s.Versions.Roster
 	}
-	if s.Upstreams != nil && s.Versions.Upstreams > f.versions.Upstreams {
-		f.upstreams, f.versions.Upstreams = upstreams(now, s.Upstreams), s.Versions.Upstreams
+	if s.Upstreams != nil && (s.Upstreams.Whole || f.versions.Upstreams > 0) {
+		f.takeUpstreams(now, s.Upstreams)
+		f.versions.Upstreams = s.Versions.Upstreams
 	}
-	if s.Owners != nil && s.Versions.Owners > f.versions.Owners {
-		f.owners, f.versions.Owners = owners(now, s.Owners), s.Versions.Owners
+	if s.Owners != nil && (s.Owners.Whole || f.versions.Owners > 0) {
+		f.takeOwners(now, s.Owners)
+		f.versions.Owners = s.Versions.Owners
 	}
 	board := f.board()
 	f.mu.Unlock()
@@ -107,41 +113,91 @@
 	f.router.admitter.Learn(board)
 }
 
-// upstreams turns a message into what the scheduler reads.
-func upstreams(now time.Time, list *messenger.UpstreamList) []scheduler.Upstream {
-	out := make([]scheduler.Upstream, 0, len(list.Upstreams))
+// takeUpstreams takes over what is new of the upstreams. The caller holds mu.
+func (f *follower) takeUpstreams(now time.Time, list *messenger.UpstreamList) {
+	if list.Whole || f.upstreams == nil {
+		f.upstreams = make(map[pimento.UpstreamName]pimento.Server)
+	}
 	for _, u := range list.Upstreams {
-		x := scheduler.Upstream{Server: u.Server, Usable: u.State == pimento.StateArriving}
-		x.WarmAt = now.Add(u.ColdFor)
-		for _, d := range list.Out {
-			x.Usable = x.Usable && u.Domain != d
-		}
-		out = append(out, x)
+		s := u.Server
+		s.WarmAt = now.Add(u.ColdFor)
+		f.upstreams[s.Name] = s
+	}
+	for _, name := range list.Gone {
+		delete(f.upstreams, name)
+	}
+	f.out = list.Out
+}
+
+// usable returns the upstreams with whether they take new work. The caller
+// holds mu.
+func (f *follower) usable() []scheduler.Upstream {
+	out := make([]scheduler.Upstream, 0, len(f.upstreams))
+	for _, s := range f.upstreams {
+		usable := s.State == pimento.StateArriving && !slices.Contains(f.out, s.Domain)
+		out = append(out, scheduler.Upstream{Server: s, Usable: usable})
 	}
 	return out
 }
 
-// owners turns a message into what the scheduler reads.
-func owners(now time.Time, list *messenger.OwnerList) map[pimento.ServiceName][]scheduler.Owner {
-	out := make(map[pimento.ServiceName][]scheduler.Owner)
+// takeOwners takes over what is new of the keys. The caller holds mu. The
+// lists of before are not changed, since the admitter reads them.
+func (f *follower) takeOwners(now time.Time, list *messenger.OwnerList) {
+	next := make(map[pimento.ServiceName][]scheduler.Owner)
+	if !list.Whole {
+		maps.Copy(next, f.owners)
+	}
+	byService := make(map[pimento.ServiceName][]scheduler.Owner)
 	for _, o := range list.Owners {
-		out[o.Service] = append(out[o.Service], scheduler.Owner{
+		byService[o.Service] = append(byService[o.Service], scheduler.Owner{
 			KeyRange: o.Range, Upstream: o.Upstream, Ready: o.Ready, ReadyAt: now.Add(o.ReadyIn),
 		})
 	}
+	for service, changed := range byService {
+		next[service] = overlay(next[service], changed)
+	}
+	f.owners = next
+}
+
+// overlay puts owners over those of before, which keep the keys that no
+// changed one names. Both lists are sorted.
+func overlay(before, changed []scheduler.Owner) []scheduler.Owner {
+	out := make([]scheduler.Owner, 0, len(before)+2*len(changed))
+	out = append(out, changed...)
+	for _, o := range before {
+		from := int(o.From)
+		for _, c := range changed {
+			if !c.Overlaps(o.KeyRange) {
+				continue
+			}
+			if from < int(c.From) {
+				out = append(out, part(o, from, int(c.From)-1))
+			}
+			from = max(from, int(c.To)+1)
+		}
+		if from <= int(o.To) {
+			out = append(out, part(o, from, int(o.To)))
+		}
+	}
+	slices.SortFunc(out, func(a, b scheduler.Owner) int { return cmp.Compare(a.From, b.From) })
 	return out
 }
 
+func part(o scheduler.Owner, from, to int) scheduler.Owner {
+	o.KeyRange = pimento.KeyRange{From: pimento.Key(from), To: pimento.Key(to)}
+	return o
+}
+
 // board returns what the admitter reads. The caller holds mu.
 func (f *follower) board() *admitter.Board {
-	b := &admitter.Board{Upstreams: f.upstreams, Owners: f.owners, Processes: make(map[pimento.ProcessID]pimento.Process)}
+	b := &admitter.Board{Upstreams: f.usable(), Owners: f.owners, Processes: make(map[pimento.ProcessID]pimento.Process)}
 	if v := f.view.Load(); v != nil {
 		b.Services = v.Manifest.Services
 	}
-	if f.assignment != nil {
-		b.Pools = f.assignment.Pools
-		for _, m := range f.assignment.Members {
-			b.Processes[m.ID] = m.Process
+	if f.roster != nil {
+		b.Pools = f.roster.Pools
+		for _, p := range f.roster.Processes {
+			b.Processes[p.ID] = p
 		}
 	}
 	return b
@@ -241,7 +297,9 @@
 		list.Upstreams = append(list.Upstreams, u)
 	}
 	f.mu.Lock()
-	f.upstreams, f.versions.Upstreams = upstreams(time.Now(), list), 0
+	list.Whole = true
+	f.takeUpstreams(time.Now(), list)
+	f.versions.Upstreams = 0
 	f.alone = true
 	board := f.board()
 	f.mu.Unlock()
