Keep large bodies in their failure domain while that answers in time

Now the way counts by the bytes of the body, and a large body waits for a slot in its own failure domain where that still meets the goal.

--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -11,10 +11,8 @@
 	// crossCost is how much longer than in its own failure domain a request
 	// may take elsewhere before it goes there, as a part of its work.
 	crossCost = 0.1
-	// crossUpload is the same for a body of crossBytes or more.
-	crossUpload = 0.6
-	// crossBytes is the body in bytes from which on the way between failure
-	// domains counts.
+	// crossBytes is the body in bytes whose way to another failure domain costs
+	// as much again as its work.
 	crossBytes = 16 << 10
 	// fullCost is how much slower an upstream with all slots in use is.
 	fullCost = 0.2
@@ -43,11 +41,7 @@
 	d := float64(p.expected(now, t, u))
 	f := 1 + failCost*u.health.failures + fullCost*float64(len(u.running))/float64(max(1, u.Slots))
 	if u.Domain != t.Domain {
-		if t.Bytes >= crossBytes {
-			f += crossUpload
-		} else {
-			f += crossCost
-		}
+		f += crossCost + float64(max(0, t.Bytes))/crossBytes
 	}
 	return time.Duration(d * f)
 }
@@ -77,10 +71,13 @@
 			best, bestCost = u, c
 		}
 	}
+	if best != nil && best.Domain != t.Domain && t.Bytes >= crossBytes && p.worthWaiting(now, t, t.Domain) {
+		return nil
+	}
 	if best != nil {
 		return best
 	}
-	if late != nil && p.worthWaiting(now, t) {
+	if late != nil && p.worthWaiting(now, t, "") {
 		return nil
 	}
 	return late
@@ -94,10 +91,13 @@
 	return x.Name < y.Name
 }
 
-// worthWaiting reports whether a request that an open upstream would answer
-// late may still be answered in time by one that is busy now.
-func (p *Pool) worthWaiting(now time.Time, t *Ticket) bool {
+// worthWaiting reports whether a request may still be answered in time by an
+// upstream that is busy now, of the given failure domain or, with none, of any.
+func (p *Pool) worthWaiting(now time.Time, t *Ticket, domain pimento.DomainName) bool {
 	for _, u := range p.upstreams {
+		if domain != "" && u.Domain != domain {
+			continue
+		}
 		if !u.Usable || now.Before(u.health.openAt) || now.Before(u.cold.until) || len(u.running) < p.limit(now, u) {
 			continue
 		}
