Move keys for overload or for those who join, by what the mix of requests takes

And a bearing of 120 requests a second was believed of four slots with 220 ms of work: the few routes that answer at once weighed as much as those with the traffic (printed by upstream in a trial). Ruled out: hot keys alone (the moves went on in calm stretches).

Conclusion: balance reacts to overload only; how fast is the next question.

--- a/leader/ask.go
+++ b/leader/ask.go
@@ -121,10 +121,18 @@
 func (t *term) takeReport(now time.Time, loads []messenger.KeyLoad, speeds []messenger.Speed) {
 	t.loads.add(now, loads)
 	for _, s := range speeds {
+		if old, ok := t.speeds[s.Upstream]; ok {
+			s.Capacity = old + speedShare*(s.Capacity-old)
+		}
 		t.speeds[s.Upstream] = s.Capacity
 	}
 }
 
+// speedShare is the weight of a new report of what an upstream bears. Slow
+// spells of less than a second are not worth moving keys.
+const speedShare = 0.12
+
+
 // HandleAsk answers the question of a leader.
 func (l *Leader) HandleAsk(from pimento.ProcessID, q *messenger.Ask, reply func(*messenger.Message)) {
 	l.inbox <- func() {
--- a/partitioner/partitioner.go
+++ b/partitioner/partitioner.go
@@ -25,17 +25,17 @@
 	baseLoad = 0.05
 	// calmUse is the part of its capacity up to which an upstream is left
 	// alone.
-	calmUse = 0.45
+	calmUse = 0.6
 	// excessUse is how far above the mean use an upstream must be before keys
 	// move from it.
-	excessUse = 0.12
+	excessUse = 0.15
 	// maxMoves bounds the ranges that move for balance in one plan.
 	maxMoves = 24
 	// minLoad is the least load in requests a second that is worth a move.
 	minLoad = 0.4
-	// fillUse is how far below the mean use an upstream without load must be
-	// to be given keys, so that those who join take part.
-	fillUse = 0.5
+	// joinKeys is the part of its share of the keys below which an upstream
+	// counts as one that has just joined and takes its part.
+	joinKeys = 0.1
 )
 
 // Holding is a range of keys as it stands.
@@ -73,6 +73,7 @@
 type share struct {
 	Upstream
 	load   float64
+	keys   int
 	pieces []pimento.KeyRange // that may move
 }
 
@@ -157,6 +158,7 @@
 			continue
 		}
 		s.load += p.load(h.KeyRange)
+		s.keys += h.Len()
 		if h.Movable {
 			s.pieces = append(s.pieces, h.KeyRange)
 		}
@@ -190,6 +192,7 @@
 			})
 			piece, rest, more := p.cut(r, mean*to.Capacity-to.load)
 			to.load += p.load(piece)
+			to.keys += piece.Len()
 			p.moves = append(p.moves, Move{KeyRange: piece, Holder: to.Run})
 			if !more {
 				break
@@ -233,6 +236,17 @@
 // cut for it.
 const cutSlack = 1.05
 
+// joins reports whether an upstream has just joined, so that it holds next to
+// no keys and carries next to no load.
+func (p *plan) joins(s *share, mean float64) bool {
+	capacity := 0.0
+	for _, x := range p.shares {
+		capacity += x.Capacity
+	}
+	fair := s.Capacity / capacity * float64(pimento.AllKeys.Len())
+	return float64(s.keys) < joinKeys*fair && s.use() < joinKeys*mean
+}
+
 // balance moves narrow ranges from upstreams with too much load to those with
 // the least.
 func (p *plan) balance() {
@@ -241,20 +255,23 @@
 		from := slices.MaxFunc(p.shares, func(a, b *share) int { return cmp.Compare(a.use(), b.use()) })
 		to := slices.MinFunc(p.shares, func(a, b *share) int { return cmp.Compare(a.use(), b.use()) })
 		over := from.use() > max(calmUse, mean+excessUse)
-		empty := to.load == 0 && mean > 0 || to.use() < mean*fillUse && from.use() > mean+excessUse/2 && mean > calmUse/2
-		if from == to || !over && !empty {
+		joins := p.joins(to, mean)
+		if from == to || !over && !joins {
 			return
 		}
 		want := min(from.load-mean*from.Capacity, mean*to.Capacity-to.load)
-		if to.load == 0 {
-			want = max(want, mean*to.Capacity/2)
+		if joins {
+			want = max(want, mean*to.Capacity/joinParts)
 		}
-		if want < minLoad && to.load > 0 || !p.shift(from, to, want) {
+		if want < minLoad && !joins || !p.shift(from, to, want) {
 			return
 		}
 	}
 }
 
+// joinParts is in how many parts an upstream that joins is given its keys.
+const joinParts = 3
+
 // shift moves the narrowest range that carries about the wanted load, and
 // reports whether there is one.
 func (p *plan) shift(from, to *share, want float64) bool {
@@ -268,6 +285,8 @@
 	}
 	from.load -= load
 	to.load += load
+	from.keys -= r.Len()
+	to.keys += r.Len()
 	piece := from.pieces[i]
 	from.pieces = slices.Delete(from.pieces, i, i+1)
 	if piece.From < r.From {
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -111,6 +111,7 @@
 	waiting   []*Ticket
 	running   map[uint64]*running
 	works     map[pimento.RouteName]*work
+	work      work // of all routes together
 	budget    budget
 	draws     uint64 // for spreading returns
 }
--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -76,19 +76,16 @@
 	s.factor = s.value()*(1-share) + share*f
 }
 
-// workOf returns what the requests of a route take at usual speed.
+// workOf returns what the requests of a route take at usual speed. For a route
+// that was not measured it is what all requests take, as they come.
 func (p *Pool) workOf(r pimento.RouteName) time.Duration {
 	if w, ok := p.works[r]; ok {
 		return w.mean
 	}
-	if len(p.works) == 0 {
+	if p.work.count == 0 {
 		return startWork
 	}
-	var sum time.Duration
-	for _, w := range p.works {
-		sum += w.mean
-	}
-	return sum / time.Duration(len(p.works))
+	return p.work.mean
 }
 
 // expected returns how long a request would take at an upstream. Work that
@@ -132,7 +129,9 @@
 	if w.count > 0 && !now.Before(u.cold.until) {
 		u.speed.add(float64(result.Took) / float64(w.mean))
 	}
-	w.add(time.Duration(float64(result.Took) / u.speed.value()))
+	usual := time.Duration(float64(result.Took) / u.speed.value())
+	w.add(usual)
+	p.work.add(usual)
 }
 
 func later(a, b time.Time) time.Time {
@@ -142,7 +141,8 @@
 	return b
 }
 
-// Capacities returns how many requests a second each usable upstream bears.
+// Capacities returns how many requests a second each usable upstream bears, of
+// the mix that comes.
 func (p *Pool) Capacities(now time.Time) map[pimento.UpstreamName]float64 {
 	out := make(map[pimento.UpstreamName]float64, len(p.upstreams))
 	for name, u := range p.upstreams {
