Prove the leader on virtual time, and mend what that showed

It checks that no key has two holders, that fences grow, and that all keys are held 8 s after the last fault.

Losses in TestOutages: none for a lost, cut or isolated leader and for the store; upstream lost or silent under 4 and 5 s.

--- a/admitter/runs.go
+++ b/admitter/runs.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"context"
 	"time"
 
 	"pimentorelay.example/pimento"
@@ -38,11 +39,23 @@
 	return r.client
 }
 
-// Client returns the client of an upstream's run, for calls that need no
-// permit.
-func (a *Admitter) Client(s pimento.Server) *connector.Client {
+// Grant implements leader.Grantor.
+func (a *Admitter) Grant(ctx context.Context, to pimento.Server, g pimento.KeyGrant) error {
 	a.init()
-	return a.client(s)
+	return a.client(to).Grant(ctx, g)
+}
+
+// Release implements leader.Grantor.
+func (a *Admitter) Release(ctx context.Context, from pimento.Server, span pimento.KeyRange, fence uint64, wait time.Duration) (string, error) {
+	a.init()
+	return a.client(from).Release(ctx, span, fence, wait)
+}
+
+// Probe implements leader.Grantor.
+func (a *Admitter) Probe(ctx context.Context, at pimento.Server, path string) error {
+	a.init()
+	_, _, err := a.client(at).Probe(ctx, path)
+	return err
 }
 
 // forgetRuns closes connections to runs that were not used for long. The
--- a/elector/machine.go
+++ b/elector/machine.go
@@ -92,6 +92,7 @@
 	learned    map[pimento.ProcessID]bool      // who knows this term
 	verifiedAt time.Time                       // when the store last showed this term
 	settledAt  time.Time                       // when all earlier authority lapses
+	inForce    bool                            // no prior set of confirmers can confirm an earlier term
 }
 
 // New returns a machine that knows no term.
@@ -118,6 +119,7 @@
 	m.heardAt, m.blindSince = now, time.Time{}
 	clear(m.confirmed)
 	clear(m.learned)
+	m.inForce = false
 	m.learned[m.self] = true
 	if m.Leads() {
 		m.verifiedAt = now
@@ -173,14 +175,15 @@
 	if slices.Contains(m.term.Confirmers, m.self) {
 		m.confirmed[m.self] = now
 	}
-	if !m.settledAt.IsZero() {
-		return
-	}
 	for _, set := range m.term.Prior {
 		if !pimento.Blocked(set, func(id pimento.ProcessID) bool { return m.learned[id] || ended(id) }) {
 			return
 		}
 	}
+	m.inForce = true
+	if !m.settledAt.IsZero() {
+		return
+	}
 	m.settledAt = now
 	if m.term.Epoch > 1 {
 		m.settledAt = now.Add(m.timing.Lease + m.timing.Drift)
@@ -290,12 +293,14 @@
 // the processes that answered, of which the confirmers are chosen.
 func (m *Machine) Next(live []pimento.ProcessID, ended func(pimento.ProcessID) bool) pimento.Term {
 	t := pimento.Term{Epoch: m.term.Epoch + 1, Leader: m.self, Confirmers: m.choose(live)}
-	if m.Leads() && !m.settledAt.IsZero() {
-		return t
-	}
-	prior := m.term.Prior
-	if !m.Leads() && len(m.term.Confirmers) > 0 {
-		prior = append(slices.Clone(prior), m.term.Confirmers)
+	var prior [][]pimento.ProcessID
+	if !m.inForce {
+		prior = slices.Clone(m.term.Prior)
+	}
+	if len(m.term.Confirmers) > 0 {
+		// Also where this process leads already: it acts by the present term
+		// until it knows that the next one stands.
+		prior = append(prior, m.term.Confirmers)
 	}
 	for _, set := range prior {
 		set = slices.Clone(set)
--- /dev/null
+++ b/elector/machine_test.go
@@ -0,0 +1,192 @@
+package elector
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pimentorelay.example/pimento"
+)
+
+var t0 = time.Unix(1_800_000_000, 0)
+
+func ids(names ...pimento.ProcessID) []pimento.ProcessID { return names }
+
+func nobody(pimento.ProcessID) bool { return false }
+
+func endedAre(list ...pimento.ProcessID) func(pimento.ProcessID) bool {
+	return func(id pimento.ProcessID) bool {
+		for _, x := range list {
+			if x == id {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+// leads returns a machine that leads the given epoch.
+func leads(self pimento.ProcessID, epoch uint64, confirmers []pimento.ProcessID, prior ...[]pimento.ProcessID) *Machine {
+	m := New(self, DefaultTiming())
+	m.Learn(t0, pimento.Term{Epoch: epoch, Leader: self, Confirmers: confirmers, Prior: prior})
+	m.Tick(t0, nobody)
+	return m
+}
+
+func TestAuthorityNeedsAMajority(t *testing.T) {
+	is := is.New(t)
+	m := leads("a", 1, ids("a", "b", "c", "d", "e"))
+	is.True(m.AuthorityUntil().IsZero())
+	m.Answer(t0, t0, "b", 1, true)
+	is.True(m.AuthorityUntil().IsZero())
+	m.Answer(t0.Add(50*time.Millisecond), t0.Add(20*time.Millisecond), "c", 1, true)
+	// It lasts from when the third latest question was sent.
+	is.Equal(m.AuthorityUntil(), t0.Add(m.timing.Lease))
+	m.Answer(t0, t0.Add(time.Second), "d", 1, false) // learned, not confirmed
+	is.Equal(m.AuthorityUntil(), t0.Add(m.timing.Lease))
+	m.Answer(t0, t0.Add(time.Second), "d", 2, true) // of another epoch
+	is.Equal(m.AuthorityUntil(), t0.Add(m.timing.Lease))
+	m.Answer(t0, t0.Add(time.Second), "x", 1, true) // no confirmer
+	is.Equal(m.AuthorityUntil(), t0.Add(m.timing.Lease))
+}
+
+func TestOnlyTheLatestTermIsConfirmed(t *testing.T) {
+	is := is.New(t)
+	m := New("b", DefaultTiming())
+	first := pimento.Term{Epoch: 1, Leader: "a", Confirmers: ids("a", "b", "c")}
+	second := pimento.Term{Epoch: 2, Leader: "c", Confirmers: ids("a", "b", "c")}
+	is.True(m.Ask(t0, Ask{From: "a", Term: first}))
+	is.True(m.Ask(t0, Ask{From: "c", Term: second})) // learned by the question itself
+	is.True(!m.Ask(t0, Ask{From: "a", Term: first}))
+	is.True(!m.Ask(t0, Ask{From: "x", Term: second})) // not the leader of the term
+}
+
+func TestBlindLeaderStops(t *testing.T) {
+	is := is.New(t)
+	m := leads("a", 1, ids("a", "b", "c"))
+	late := t0.Add(m.timing.Blind)
+	m.Tick(late, nobody)
+	m.Answer(late, late, "b", 1, true)
+	is.Equal(m.AuthorityUntil(), t0.Add(m.timing.Blind))
+	m.Verified(late, 1)
+	is.Equal(m.AuthorityUntil(), late.Add(m.timing.Lease))
+	m.Verified(late.Add(time.Hour), 2) // of another term
+	is.Equal(m.AuthorityUntil(), late.Add(m.timing.Lease))
+}
+
+func TestSettled(t *testing.T) {
+	five := ids("a", "b", "c", "d", "e")
+	for _, c := range []struct {
+		name    string
+		epoch   uint64
+		prior   [][]pimento.ProcessID
+		learned []pimento.ProcessID
+		ended   []pimento.ProcessID
+		settled bool
+	}{
+		{"the first term", 1, nil, nil, nil, true},
+		{"too few have learned", 2, [][]pimento.ProcessID{five}, ids("b"), nil, false},
+		{"a majority has learned", 2, [][]pimento.ProcessID{five}, ids("b", "c"), nil, true},
+		{"ended ones count", 2, [][]pimento.ProcessID{five}, ids("b"), ids("d"), true},
+		{"each set counts", 3, [][]pimento.ProcessID{five, ids("x", "y", "z")}, ids("b", "c"), nil, false},
+		{"all sets are blocked", 3, [][]pimento.ProcessID{five, ids("x", "y", "z")}, ids("b", "c", "x"), ids("y"), true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			m := leads("a", c.epoch, five, c.prior...)
+			for _, id := range c.learned {
+				m.Answer(t0, t0, id, c.epoch, false)
+			}
+			m.Tick(t0, endedAre(c.ended...))
+			at, ok := m.SettledAt()
+			is.True(ok)
+			soon := t0.Add(m.timing.Lease + m.timing.Drift)
+			is.Equal(!at.After(soon), c.settled)
+			if c.settled && c.epoch > 1 {
+				is.Equal(at, soon) // authority that was given before lasts a lease
+			}
+			if !c.settled {
+				// An earlier leader that sees no store stops by itself.
+				is.True(!at.After(t0.Add(m.timing.Blind + m.timing.Lease + 2*m.timing.Drift)))
+			}
+		})
+	}
+}
+
+func TestMayStand(t *testing.T) {
+	term := pimento.Term{Epoch: 3, Leader: "a", Confirmers: ids("a", "b", "c")}
+	timing := DefaultTiming()
+	for _, c := range []struct {
+		name  string
+		self  pimento.ProcessID
+		after time.Duration
+		blind bool
+		ended []pimento.ProcessID
+		want  bool
+	}{
+		{"hears the leader", "b", timing.Suspect / 2, false, nil, false},
+		{"silent leader", "b", timing.Suspect + 10*time.Millisecond, false, nil, true},
+		{"next in line waits longer", "c", timing.Suspect + 10*time.Millisecond, false, nil, false},
+		{"next in line in its turn", "c", timing.Suspect + timing.Stagger + 10*time.Millisecond, false, nil, true},
+		{"next in line, first ended", "c", timing.Suspect + 10*time.Millisecond, false, ids("b"), true},
+		{"ended leader", "b", 10 * time.Millisecond, false, ids("a"), true},
+		{"leader without the store", "b", timing.Yield + 210*time.Millisecond, true, nil, true},
+		{"leader that just lost the store", "b", timing.Yield / 2, true, nil, false},
+		{"the leader itself", "a", time.Hour, false, nil, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			m := New(c.self, timing)
+			m.Learn(t0, term)
+			now := t0
+			for c.blind && now.Before(t0.Add(c.after)) {
+				m.Ask(now, Ask{From: "a", Term: term, Blind: true})
+				now = now.Add(100 * time.Millisecond)
+			}
+			is.Equal(m.MayStand(t0.Add(c.after), endedAre(c.ended...)), c.want)
+		})
+	}
+}
+
+func TestVote(t *testing.T) {
+	is := is.New(t)
+	m := New("b", DefaultTiming())
+	term := pimento.Term{Epoch: 3, Leader: "a", Confirmers: ids("a", "b", "c")}
+	is.True(m.Vote(t0, 0)) // knows no leader
+	m.Learn(t0, term)
+	is.True(!m.Vote(t0.Add(100*time.Millisecond), 3)) // hears it
+	is.True(m.Vote(t0.Add(m.timing.Suspect), 3))
+	is.True(!m.Vote(t0.Add(m.timing.Suspect), 2)) // the candidate is behind
+}
+
+func TestNextTerm(t *testing.T) {
+	is := is.New(t)
+	m := New("b", DefaultTiming())
+	old := ids("a", "b", "c")
+	m.Learn(t0, pimento.Term{Epoch: 3, Leader: "a", Confirmers: old, Prior: [][]pimento.ProcessID{ids("x", "y", "z")}})
+	next := m.Next(ids("c", "d"), nobody)
+	is.Equal(next.Epoch, uint64(4))
+	is.Equal(next.Leader, pimento.ProcessID("b"))
+	is.Equal(next.Confirmers, ids("b", "c", "d"))
+	is.Equal(next.Prior, [][]pimento.ProcessID{ids("x", "y", "z"), old}) // neither may have learned
+
+	next = m.Next(ids("c", "d"), endedAre("x", "y", "a", "c"))
+	is.Equal(next.Prior, [][]pimento.ProcessID(nil)) // what is left of them is no majority
+}
+
+func TestSettledStaysWhenConfirmersChange(t *testing.T) {
+	is := is.New(t)
+	m := leads("a", 2, ids("a", "b", "c"), ids("a", "b", "c"))
+	m.Answer(t0, t0, "b", 2, true)
+	m.Tick(t0, nobody)
+	before, _ := m.SettledAt()
+	next := m.Next(ids("b", "d"), nobody)
+	// Until it knows that the next term stands, this process may act by the
+	// present one, so a later leader has to count its confirmers.
+	is.Equal(next.Prior, [][]pimento.ProcessID{ids("a", "b", "c")})
+	m.Learn(t0.Add(time.Second), next)
+	after, _ := m.SettledAt()
+	is.Equal(after, before)
+	is.True(m.AuthorityUntil().IsZero()) // the new confirmers have to confirm
+}
--- a/keeper/machine.go
+++ b/keeper/machine.go
@@ -275,14 +275,14 @@
 		return Call{}, false
 	}
 	r.granting = true
-	r.pendingUntil = m.timing.lapse(now.Add(m.timing.Answer))
 	return Call{
 		Kind: CallGrant, Service: r.service, Run: h.Holder,
 		Grant: pimento.KeyGrant{Range: h.KeyRange, Fence: h.Fence, Hold: m.timing.Hold, Handover: r.handover},
 	}, true
 }
 
-// find returns the row of a call, nil if its keys have gone on since.
+// find returns the rows that the keys of a call are in, as long as they have
+// not gone on to another holder.
 func (m *Machine) find(c Call) []*row {
 	var out []*row
 	for _, r := range m.rows {
@@ -293,6 +293,19 @@
 	return out
 }
 
+// Sending says that a grant is about to be sent, and reports whether it still
+// should be: its keys, or some of them, may have gone on since the call was
+// asked for.
+func (m *Machine) Sending(now time.Time, c Call) bool {
+	for _, r := range m.find(c) {
+		if r.granting && r.holding.KeyRange == c.Grant.Range && r.holding.Holder.Same(c.Run) {
+			r.pendingUntil = m.timing.lapse(now.Add(m.timing.Answer))
+			return true
+		}
+	}
+	return false
+}
+
 // Granted takes the result of a grant that was sent at sentAt. The keys may
 // have gone on meanwhile to a row whose former holder is the one that was
 // granted.
--- a/leader/ask.go
+++ b/leader/ask.go
@@ -90,7 +90,7 @@
 		defer cancel()
 		sentAt := timekeeper.Now()
 		reply, err := l.Peers.Call(ctx, m.process, &messenger.Message{Ask: q})
-		l.post(t.ctx, func() {
+		l.postTerm(t, func() {
 			m.asking = false
 			if err != nil || reply.AskReply == nil {
 				m.failures++
@@ -132,7 +132,6 @@
 // spells of less than a second are not worth moving keys.
 const speedShare = 0.12
 
-
 // HandleAsk answers the question of a leader.
 func (l *Leader) HandleAsk(from pimento.ProcessID, q *messenger.Ask, reply func(*messenger.Message)) {
 	l.inbox <- func() {
@@ -199,7 +198,7 @@
 	t.reading = true
 	go func() {
 		list, err := l.listProcesses(t.ctx, pimento.FreshnessStale)
-		l.post(t.ctx, func() {
+		l.postTerm(t, func() {
 			t.reading = false
 			t.joinAt = now.Add(joinPause)
 			if err == nil {
--- a/leader/grants.go
+++ b/leader/grants.go
@@ -65,15 +65,18 @@
 func (l *Leader) sendGrant(q *queue, c keeper.Call) {
 	t := l.lead
 	s, known := t.address(c.Run)
+	if !l.keeper.Sending(timekeeper.Now(), c) {
+		known = false
+	}
 	go func() {
 		sentAt := timekeeper.Now()
 		result := keeper.ResultUnsent
 		if known && l.HasAuthority() {
 			ctx, cancel := context.WithTimeout(t.ctx, l.Keys.Answer)
-			result = resultOf(l.Client(s).Grant(ctx, c.Grant))
+			result = resultOf(l.Grantor.Grant(ctx, s, c.Grant))
 			cancel()
 		}
-		l.post(t.ctx, func() {
+		l.postTerm(t, func() {
 			q.granting = false
 			l.keeper.Granted(timekeeper.Now(), sentAt, c, result)
 			if result != keeper.ResultAccepted {
@@ -109,9 +112,9 @@
 		err := error(&pimento.UnreachableError{Target: string(c.Run.Upstream), Unsent: true})
 		startedAt := time.Now()
 		if known && l.HasAuthority() {
-			handover, err = l.Client(s).Release(t.ctx, c.Grant.Range, c.Grant.Fence, releaseTimeout)
+			handover, err = l.Grantor.Release(t.ctx, s, c.Grant.Range, c.Grant.Fence, releaseTimeout)
 		}
-		l.post(t.ctx, func() {
+		l.postTerm(t, func() {
 			q.releasing--
 			l.keeper.Released(timekeeper.Now(), c, handover, err == nil)
 			l.Events.Emit(pimento.EventReleased, "Upstream", c.Run.Upstream, "Keys", c.Grant.Range, "Fence", c.Grant.Fence,
@@ -128,30 +131,46 @@
 	return err.Error()
 }
 
-// probeLost tries to reach upstreams that were given up.
+// probeLost tries to reach upstreams that were given up. Until one answers it
+// is given no keys.
 func (l *Leader) probeLost() {
 	t := l.lead
 	for _, run := range l.keeper.LostRuns() {
+		t.down[run.Upstream] = run
+	}
+	for name, run := range t.down {
 		s, known := t.address(run)
-		if !known || t.probing[run.Upstream] {
+		if !known {
+			delete(t.down, name) // it is gone, or another run has its place
 			continue
 		}
-		t.probing[run.Upstream] = true
-		path := l.healthPath(s.Service)
-		go func() {
-			_, _, err := l.Client(s).Probe(t.ctx, path)
-			l.post(t.ctx, func() {
-				if err == nil {
-					l.Events.Emit(pimento.EventUpstreamBack, "Upstream", run.Upstream)
-					l.keeper.Reached(timekeeper.Now(), run)
-				}
-			})
-			sleep(t.ctx, probePause)
-			l.post(t.ctx, func() { delete(t.probing, run.Upstream) })
-		}()
+		if !t.probing[name] {
+			t.probing[name] = true
+			l.probe(s, run)
+		}
 	}
 }
 
+// probe tries once to reach an upstream.
+func (l *Leader) probe(s pimento.Server, run pimento.Run) {
+	t := l.lead
+	path := l.healthPath(s.Service)
+	go func() {
+		err := l.Grantor.Probe(t.ctx, s, path)
+		if err != nil {
+			sleep(t.ctx, probePause)
+		}
+		l.postTerm(t, func() {
+			delete(t.probing, run.Upstream)
+			if err == nil {
+				l.Events.Emit(pimento.EventUpstreamBack, "Upstream", run.Upstream)
+				delete(t.down, run.Upstream)
+				l.keeper.Reached(timekeeper.Now(), run)
+			}
+		})
+	}()
+}
+
 func (l *Leader) healthPath(name pimento.ServiceName) string {
 	if m := l.manifest(); m != nil {
 		if s, ok := m.Service(name); ok && s.HealthPath != "" {
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -29,7 +29,6 @@
 	"time"
 
 	"pimentorelay.example/pimento"
-	"pimentorelay.example/pimento/connector"
 	"pimentorelay.example/pimento/elector"
 	"pimentorelay.example/pimento/keeper"
 	"pimentorelay.example/pimento/messenger"
@@ -71,6 +70,16 @@
 	Out(ctx context.Context, after uint64, wait time.Duration) (out []pimento.DomainName, changed bool, revision uint64, err error)
 }
 
+// Grantor calls upstreams.
+type Grantor interface {
+	// Grant gives keys or renews a grant; see connector.Client.
+	Grant(ctx context.Context, to pimento.Server, g pimento.KeyGrant) error
+	// Release takes keys back and returns the handover.
+	Release(ctx context.Context, from pimento.Server, span pimento.KeyRange, fence uint64, wait time.Duration) (string, error)
+	// Probe asks for a sign of life.
+	Probe(ctx context.Context, at pimento.Server, path string) error
+}
+
 // Member is what the Leader needs of its own process as one that is led.
 type Member interface {
 	// Apply takes over parts of the state.
@@ -95,8 +104,7 @@
 	Events   *recorder.Recorder
 	Timing   elector.Timing
 	Keys     keeper.Timing
-	// Client returns the client of an upstream.
-	Client func(pimento.Server) *connector.Client
+	Grantor  Grantor
 
 	inbox   chan func()
 	elector *elector.Machine
@@ -135,6 +143,7 @@
 	own       snapshot                                // as this process itself was told
 	runs      map[pimento.UpstreamName]pimento.Server // last known addresses
 	queues    map[pimento.UpstreamName]*queue
+	down      map[pimento.UpstreamName]pimento.Run // given up, and not reached since
 	probing   map[pimento.UpstreamName]bool
 
 	reportAt time.Time // when this process's own loads are counted next
@@ -203,6 +212,15 @@
 	}
 }
 
+// postTerm is post for a result that matters only while the term lasts.
+func (l *Leader) postTerm(t *term, do func()) {
+	l.post(t.ctx, func() {
+		if l.lead == t {
+			do()
+		}
+	})
+}
+
 // ended reports whether a process has ended for certain: another one has
 // registered under its host.
 func (l *Leader) ended(id pimento.ProcessID) bool {
@@ -255,7 +273,7 @@
 	t := &term{
 		members: make(map[pimento.ProcessID]*member), speeds: make(map[pimento.UpstreamName]float64),
 		runs: make(map[pimento.UpstreamName]pimento.Server), queues: make(map[pimento.UpstreamName]*queue),
-		probing: make(map[pimento.UpstreamName]bool),
+		down: make(map[pimento.UpstreamName]pimento.Run), probing: make(map[pimento.UpstreamName]bool),
 	}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	t.loads.init()
--- a/leader/plan.go
+++ b/leader/plan.go
@@ -163,6 +163,9 @@
 			lost[x.Holder.Upstream] = lost[x.Holder.Upstream] || x.Lost && !in.Ended(x.Holder)
 		}
 	}
+	for name := range t.down {
+		lost[name] = true
+	}
 	blind := mostLost(lost)
 	for _, h := range table.Holdings {
 		x, known := states[h.From]
@@ -278,7 +281,7 @@
 		if err != nil || s.assignment == nil {
 			return // the next look comes soon
 		}
-		l.post(t.ctx, func() {
+		l.postTerm(t, func() {
 			l.elector.Verified(sentAt, s.assignment.Term.Epoch)
 			if s.assignment.Term.Epoch > l.elector.Term().Epoch {
 				l.learn(timekeeper.Now(), s)
--- a/leader/push.go
+++ b/leader/push.go
@@ -170,7 +170,7 @@
 		ctx, cancel := context.WithTimeout(t.ctx, pushTimeout)
 		defer cancel()
 		reply, err := l.Peers.Call(ctx, m.process, &messenger.Message{State: state})
-		l.post(t.ctx, func() {
+		l.postTerm(t, func() {
 			m.pushing = false
 			if err == nil && reply.State != nil && reply.State.Versions.Epoch == l.elector.Term().Epoch {
 				m.versions, m.told = reply.State.Versions, after
--- a/leader/registry.go
+++ b/leader/registry.go
@@ -196,7 +196,7 @@
 		if err == nil {
 			l.noteStore()
 		}
-		l.post(t.ctx, func() {
+		l.postTerm(t, func() {
 			end := timekeeper.Now()
 			t.listing = false
 			if err != nil {
@@ -228,7 +228,7 @@
 		}
 		l.noteStore()
 		if changed {
-			l.post(t.ctx, func() { t.upstreams.setOut(timekeeper.Now(), out, l.coldFor) })
+			l.postTerm(t, func() { t.upstreams.setOut(timekeeper.Now(), out, l.coldFor) })
 		}
 	}
 }
--- /dev/null
+++ b/leader/simulation_test.go
@@ -0,0 +1,251 @@
+package leader
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/timekeeper"
+)
+
+var (
+	simFirst = flag.Uint64("sim.first", 1, "first seed of the simulation")
+	simSeeds = flag.Uint64("sim.seeds", 60, "number of seeds of the simulation")
+)
+
+const (
+	simProcesses = 7
+	simUpstreams = 6
+	// startTime is how long a deployment may take until all keys are held.
+	startTime = 4 * time.Second
+	// faultTime is how long faults go on.
+	faultTime = 15 * time.Second
+	// healTime is how long a deployment may take until all keys are held after
+	// the last fault. It covers the longest time in which a new leader cannot
+	// tell whether an earlier one still acts.
+	healTime = 8 * time.Second
+)
+
+// inWorld runs a test on virtual time with a deployment that has started.
+func inWorld(t *testing.T, seed uint64, quiet bool, test func(*world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		restore := timekeeper.Use(time.Now)
+		defer restore()
+		ctx, cancel := context.WithCancel(context.Background())
+		w := newWorld(ctx, seed, quiet)
+		defer func() {
+			cancel()
+			w.running.Wait()
+			synctest.Wait()
+		}()
+		time.Sleep(startTime)
+		test(w)
+		for _, b := range w.failures() {
+			t.Errorf("seed %d: %s", seed, b)
+		}
+	})
+}
+
+// schedule draws faults and brings them about, one after the other and
+// overlapping.
+func schedule(w *world, rng *rand.Rand) []string {
+	var log []string
+	end := time.Now().Add(faultTime)
+	for time.Now().Before(end) {
+		time.Sleep(time.Duration(rng.Int64N(int64(900 * time.Millisecond))))
+		host := w.hosts[rng.IntN(len(w.hosts))]
+		name := pimento.UpstreamName(fmt.Sprintf("u%d", rng.IntN(simUpstreams)))
+		span := time.Duration(rng.Int64N(int64(5 * time.Second)))
+		if rng.IntN(3) == 0 {
+			if list := w.acting(); len(list) > 0 { // strike the leader
+				host = pimento.HostName(strings.Split(string(list[0]), "-")[0])
+			}
+		}
+		log = append(log, fmt.Sprintf("%v %s", time.Since(w.started).Round(time.Millisecond), strike(w, rng, host, name, span)))
+	}
+	return log
+}
+
+// later runs a function after a time, unless the world has ended.
+func (w *world) later(d time.Duration, do func()) {
+	w.running.Go(func() {
+		sleep(w.ctx, d)
+		if w.ctx.Err() == nil {
+			do()
+		}
+	})
+}
+
+// strike brings about one fault and says which.
+func strike(w *world, rng *rand.Rand, host pimento.HostName, name pimento.UpstreamName, span time.Duration) string {
+	h, u := string(host), string(name)
+	heal := func(pairs ...[2]string) {
+		w.later(span, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			for _, p := range pairs {
+				delete(w.cuts, p)
+			}
+		})
+	}
+	switch rng.IntN(12) {
+	case 0, 1:
+		w.kill(host)
+		w.later(span/3, func() { w.kill(host); w.start(host) })
+		return "kill " + h
+	case 2:
+		w.cut(h, storeName)
+		w.cut(storeName, h)
+		heal([2]string{h, storeName}, [2]string{storeName, h})
+		return fmt.Sprintf("cut %s from the store for %v", h, span)
+	case 3:
+		var pairs [][2]string
+		for _, o := range w.hosts {
+			pairs = append(pairs, [2]string{h, string(o)}, [2]string{string(o), h})
+		}
+		for _, p := range pairs {
+			w.cut(p[0], p[1])
+		}
+		heal(pairs...)
+		return fmt.Sprintf("isolate %s for %v", h, span)
+	case 4:
+		w.cut(h, u)
+		heal([2]string{h, u})
+		return fmt.Sprintf("cut %s to %s for %v", h, u, span)
+	case 5:
+		w.cut(u, h)
+		heal([2]string{u, h})
+		return fmt.Sprintf("cut %s to %s for %v", u, h, span)
+	case 6:
+		w.setUp(name, false)
+		w.later(span, func() { w.restart(name) })
+		return fmt.Sprintf("crash %s for %v", u, span)
+	case 7:
+		w.leave(name)
+		w.later(span, func() { w.restart(name) })
+		return fmt.Sprintf("%s leaves for %v", u, span)
+	case 8:
+		w.mu.Lock()
+		w.storeDown = true
+		w.mu.Unlock()
+		w.later(span, func() { w.mu.Lock(); w.storeDown = false; w.mu.Unlock() })
+		return fmt.Sprintf("store down for %v", span)
+	case 9:
+		w.mu.Lock()
+		w.loseWrite, w.lateWrite = 0.2, 0.15
+		w.mu.Unlock()
+		w.later(span, func() { w.mu.Lock(); w.loseWrite, w.lateWrite = 0, 0; w.mu.Unlock() })
+		return fmt.Sprintf("writes without answers for %v", span)
+	case 10:
+		w.mu.Lock()
+		w.lateGrant = 0.3
+		w.mu.Unlock()
+		w.later(span, func() { w.mu.Lock(); w.lateGrant = 0; w.mu.Unlock() })
+		return fmt.Sprintf("late grants for %v", span)
+	default:
+		for _, o := range w.hosts {
+			if rng.IntN(2) == 0 {
+				w.kill(o)
+				w.later(span/4, func() { w.kill(o); w.start(o) })
+			}
+		}
+		return "kill half"
+	}
+}
+
+// TestOneHolderUnderFaults holds, for drawn faults, that no key is ever held
+// by two upstreams, that fences only grow, and that all keys are held again
+// soon after the last fault.
+func TestOneHolderUnderFaults(t *testing.T) {
+	for seed := *simFirst; seed < *simFirst+*simSeeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			inWorld(t, seed, false, func(w *world) {
+				log := schedule(w, rand.New(rand.NewPCG(seed, 2)))
+				time.Sleep(5 * time.Second) // the last faults end
+				w.healAll()
+				w.setQuiet()
+				time.Sleep(healTime)
+				if n := w.heldKeys(); n != pimento.AllKeys.Len() || len(w.acting()) != 1 {
+					t.Errorf("seed %d: %d keys held, acting %v; faults:\n%s", seed, n, w.acting(), strings.Join(log, "\n"))
+				}
+				if t.Failed() || len(w.failures()) > 0 {
+					t.Logf("seed %d:\n%s", seed, strings.Join(log, "\n"))
+				}
+			})
+		})
+	}
+}
+
+func TestAllKeysAreHeldAtStart(t *testing.T) {
+	is := is.New(t)
+	inWorld(t, 1, true, func(w *world) {
+		is.Equal(w.heldKeys(), pimento.AllKeys.Len())
+		is.Equal(len(w.acting()), 1)
+	})
+}
+
+// TestOutages holds how long keys are without a holder after single losses.
+func TestOutages(t *testing.T) {
+	leaderOf := func(w *world) pimento.HostName {
+		return pimento.HostName(strings.Split(string(w.acting()[0]), "-")[0])
+	}
+	for _, c := range []struct {
+		name   string
+		strike func(*world)
+		most   time.Duration // without all keys held
+	}{
+		{"leader is lost", func(w *world) { w.kill(leaderOf(w)) }, 0},
+		{"leader is cut from the store", func(w *world) { w.cut(string(leaderOf(w)), storeName) }, 0},
+		{"store is down", func(w *world) { w.mu.Lock(); w.storeDown = true; w.mu.Unlock() }, 0},
+		{"leader is isolated", func(w *world) {
+			l := string(leaderOf(w))
+			for _, h := range w.hosts {
+				w.cut(l, string(h))
+				w.cut(string(h), l)
+			}
+		}, 0},
+		{"upstream is lost", func(w *world) { w.setUp("u0", false) }, 4 * time.Second},
+		{"upstream starts again", func(w *world) { w.restart("u0") }, 2 * time.Second},
+		{"upstream is silent", func(w *world) {
+			for _, h := range w.hosts {
+				w.cut(string(h), "u0")
+			}
+			w.setUp("u0", false)
+		}, 5 * time.Second},
+		{"upstream leaves", func(w *world) { w.leave("u0") }, time.Second},
+		{"all processes are lost", func(w *world) {
+			for _, h := range w.hosts {
+				w.kill(h)
+				w.later(500*time.Millisecond, func() { w.start(h) })
+			}
+		}, 2 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inWorld(t, 1, true, func(w *world) {
+				c.strike(w)
+				var out time.Duration
+				for range 100 {
+					time.Sleep(100 * time.Millisecond)
+					if w.heldKeys() < pimento.AllKeys.Len() {
+						out += 100 * time.Millisecond
+					}
+				}
+				if out > c.most {
+					t.Errorf("keys were without a holder for %v, allowed %v", out, c.most)
+				}
+				if n := w.heldKeys(); n != pimento.AllKeys.Len() {
+					t.Errorf("%d keys are held at the end", n)
+				}
+			})
+		})
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -106,7 +106,7 @@
 	r.follower = &follower{router: r}
 	r.leader = &leader.Leader{
 		Self: r.self, Store: r.store, Registry: r.registry, Peers: r.messenger, Member: r.follower, Events: r.events,
-		Timing: elector.DefaultTiming(), Keys: keeper.DefaultTiming(s.Bounds.MaxHold), Client: r.admitter.Client,
+		Timing: elector.DefaultTiming(), Keys: keeper.DefaultTiming(s.Bounds.MaxHold), Grantor: r.admitter,
 	}
 	r.leader.Init()
 	r.acceptor = &acceptor.Acceptor{
--- a/timekeeper/timekeeper.go
+++ b/timekeeper/timekeeper.go
@@ -10,6 +10,7 @@
 package timekeeper
 
 import (
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -30,6 +31,21 @@
 	return time.Duration(ts.Nano())
 }
 
+// other is the clock that is read instead, if any.
+var other atomic.Pointer[func() time.Time]
+
+// Use lets Now read another clock, such as that of a test on virtual time,
+// until restore is called.
+func Use(clock func() time.Time) (restore func()) {
+	other.Store(&clock)
+	return func() { other.Store(nil) }
+}
+
 // Now returns the time. Two of its results may be compared and subtracted; it
 // is close to the time of day at the start of the process.
-func Now() time.Time { return startWall.Add(boot() - startBoot) }
+func Now() time.Time {
+	if clock := other.Load(); clock != nil {
+		return (*clock)()
+	}
+	return startWall.Add(boot() - startBoot)
+}
