Keep every process that a term names among the members

A stale reading of the processes put the entry of an earlier run back in the place of one that had joined; the next term then named a confirmer that was no member, and after all processes were killed nobody could ask it nor tell that it had ended, so nobody stood. Ruled out: the registration (all eight registered within 30 ms in the log) and the reading of the assignment (all learned the term).

Also: a candidate needs no votes that are lost for good (after 7 s), a leader whose confirmers are lost for good goes on with the others, and a member counts as live only once it has answered. Tests for each, pure or on virtual time.

--- a/assignment.go
+++ b/assignment.go
@@ -32,6 +32,13 @@
 	Prior [][]ProcessID
 }
 
+// Names reports whether a process confirms the term, or confirmed an earlier one
+// that may not have ended.
+func (t *Term) Names(id ProcessID) bool {
+	return slices.Contains(t.Confirmers, id) ||
+		slices.ContainsFunc(t.Prior, func(set []ProcessID) bool { return slices.Contains(set, id) })
+}
+
 // Member is a process of the system.
 type Member struct {
 	Process
@@ -135,6 +142,11 @@
 	if a.Term.Epoch == 0 {
 		v.Add("Epoch", "0", "one or more")
 	}
+	for _, id := range a.Term.Confirmers {
+		if _, ok := a.Member(id); !ok {
+			v.Add("Confirmers", string(id), "a member")
+		}
+	}
 	for _, t := range a.Tables {
 		next := 0
 		for _, h := range t.Holdings {
--- a/elector/machine.go
+++ b/elector/machine.go
@@ -250,6 +250,14 @@
 	return blind || now.Sub(m.heardAt) > silence
 }
 
+// Silence returns how long this process has heard no leader.
+func (m *Machine) Silence(now time.Time) time.Duration {
+	if m.term.Leader == "" || m.Leads() {
+		return 0
+	}
+	return now.Sub(m.heardAt)
+}
+
 // MayStand reports whether this process should try to lead the next term.
 func (m *Machine) MayStand(now time.Time, ended func(pimento.ProcessID) bool) bool {
 	if m.Leads() {
--- a/leader/ask.go
+++ b/leader/ask.go
@@ -24,7 +24,8 @@
 // member is what the leader knows of a process.
 type member struct {
 	process  pimento.Process
-	heardAt  time.Time
+	heardAt  time.Time // or when it became a member
+	answered bool      // it has answered in this term
 	failures int // questions without an answer, in a row
 	leaving  bool
 	askAt    time.Time
@@ -103,7 +104,7 @@
 
 // hear takes the answer of a member.
 func (l *Leader) hear(now, sentAt time.Time, m *member, r *messenger.AskReply) {
-	m.heardAt, m.failures, m.leaving = now, 0, r.Leaving
+	m.heardAt, m.failures, m.leaving, m.answered = now, 0, r.Leaving, true
 	switch {
 	case m.pushing: // what it says may be older than what is on its way
 	case r.Versions.Epoch == l.elector.Term().Epoch:
@@ -213,10 +214,11 @@
 const joinPause = 2 * time.Second
 
 // takeProcesses takes over a reading of the registered processes. A stale one
-// may lack those that have joined since.
+// may still show a process in whose place another has joined since: that one is
+// kept until its own entry is seen.
 func (l *Leader) takeProcesses(list []registeredProcess) {
 	for _, p := range list {
-		if p.revision >= l.registered[p.process.Host].revision {
+		if p.revision > l.registered[p.process.Host].revision {
 			l.registered[p.process.Host] = p
 		}
 	}
@@ -226,7 +228,7 @@
 func (l *Leader) live(now time.Time) []pimento.ProcessID {
 	var out []pimento.ProcessID
 	for id, m := range l.lead.members {
-		if !m.silent(now) && !m.leaving {
+		if m.answered && !m.silent(now) && !m.leaving {
 			out = append(out, id)
 		}
 	}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -146,7 +146,9 @@
 	down      map[pimento.UpstreamName]pimento.Run // given up, and not reached since
 	probing   map[pimento.UpstreamName]bool
 
-	reportAt time.Time // when this process's own loads are counted next
+	reportAt    time.Time // when this process's own loads are counted next
+	authorityAt time.Time // when this process last had authority
+
 	listAt   time.Time // when the upstreams are to be read next
 	listing  bool
 	verifyAt time.Time
@@ -296,6 +298,9 @@
 // act does what is due for one who leads.
 func (l *Leader) act(now time.Time) {
 	t := l.lead
+	if l.HasAuthority() || t.authorityAt.IsZero() {
+		t.authorityAt = now
+	}
 	l.askMembers(now)
 	if !now.Before(t.reportAt) {
 		t.reportAt = now.Add(l.Timing.Ask)
--- /dev/null
+++ b/leader/members_test.go
@@ -0,0 +1,50 @@
+package leader
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"pimentorelay.example/pimento"
+)
+
+func proc(host pimento.HostName, id pimento.ProcessID) pimento.Process {
+	return pimento.Process{ID: id, Host: host}
+}
+
+// TestStaleReadingKeepsWhoJoined holds that a process that has joined is not
+// taken for ended when a reading still shows the one before it.
+func TestStaleReadingKeepsWhoJoined(t *testing.T) {
+	is := is.New(t)
+	l := &Leader{Self: proc("a", "a-1"), registered: make(map[pimento.HostName]registeredProcess)}
+	l.assignment = &pimento.Assignment{Members: []pimento.Member{{Process: proc("b", "b-1")}, {Process: proc("b", "b-2")}}}
+	stale := []registeredProcess{{process: proc("b", "b-1"), revision: 7}}
+	l.takeProcesses(stale)
+	is.True(l.ended("b-2"))
+	l.registered["b"] = registeredProcess{process: proc("b", "b-2"), revision: l.registered["b"].revision} // it joins
+	l.takeProcesses(stale)
+	is.True(!l.ended("b-2"))
+	is.True(l.ended("b-1"))
+	l.takeProcesses([]registeredProcess{{process: proc("b", "b-3"), revision: 9}})
+	is.True(l.ended("b-2"))
+}
+
+// TestMembersNameAllConfirmers holds that every process that a term names is a
+// member, so that it can be told whether it has ended: an elector that nobody
+// can ask would keep all others from leading.
+func TestMembersNameAllConfirmers(t *testing.T) {
+	is := is.New(t)
+	l := &Leader{Self: proc("a", "a-1"), registered: map[pimento.HostName]registeredProcess{
+		"b": {process: proc("b", "b-1"), revision: 7},
+	}}
+	l.lead = &term{members: map[pimento.ProcessID]*member{"c-2": {process: proc("c", "c-2")}, "d-1": {process: proc("d", "d-1")}}}
+	l.assignment = &pimento.Assignment{
+		Term:    pimento.Term{Epoch: 3, Leader: "a-1", Confirmers: []pimento.ProcessID{"a-1", "b-1", "c-2"}, Prior: [][]pimento.ProcessID{{"e-1"}}},
+		Members: []pimento.Member{{Process: proc("e", "e-1")}, {Process: proc("f", "f-1")}},
+	}
+	var got []pimento.ProcessID
+	for _, m := range l.membersFor(l.assignment, func(pimento.ProcessID) bool { return false }) {
+		got = append(got, m.ID)
+	}
+	is.Equal(got, []pimento.ProcessID{"a-1", "b-1", "c-2", "e-1"}) // not d-1 and f-1, which nothing names
+}
--- a/leader/plan.go
+++ b/leader/plan.go
@@ -98,7 +98,9 @@
 			present++
 		}
 	}
-	if len(wanted.Confirmers) <= present {
+	// Confirmers that are lost for good leave no majority: the others go on.
+	stuck := now.Sub(l.lead.authorityAt) > votePatience && len(wanted.Confirmers) < len(t.Confirmers)
+	if len(wanted.Confirmers) <= present && !stuck {
 		return false
 	}
 	l.termAt = now
--- a/leader/simulation_test.go
+++ b/leader/simulation_test.go
@@ -10,8 +10,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/matryer/is"
-
 	"pimentorelay.example/pimento"
 	"pimentorelay.example/pimento/timekeeper"
 )
@@ -32,6 +30,8 @@
 	// the last fault. It covers the longest time in which a new leader cannot
 	// tell whether an earlier one still acts.
 	healTime = 8 * time.Second
+	// lossTime is how long it may take where most processes are lost for good.
+	lossTime = 15 * time.Second
 )
 
 // inWorld runs a test on virtual time with a deployment that has started.
@@ -66,8 +66,8 @@
 		name := pimento.UpstreamName(fmt.Sprintf("u%d", rng.IntN(simUpstreams)))
 		span := time.Duration(rng.Int64N(int64(5 * time.Second)))
 		if rng.IntN(3) == 0 {
-			if list := w.acting(); len(list) > 0 { // strike the leader
-				host = pimento.HostName(strings.Split(string(list[0]), "-")[0])
+			if leader := w.leaderHost(); leader != "" {
+				host = leader
 			}
 		}
 		log = append(log, fmt.Sprintf("%v %s", time.Since(w.started).Round(time.Millisecond), strike(w, rng, host, name, span)))
@@ -186,28 +186,79 @@
 }
 
 func TestAllKeysAreHeldAtStart(t *testing.T) {
-	is := is.New(t)
+	inWorld(t, 1, true, func(w *world) { w.checkWhole(t) })
+}
+
+// checkWhole holds that one process leads and all keys are held.
+func (w *world) checkWhole(t *testing.T) {
+	t.Helper()
+	if n := w.heldKeys(); n != pimento.AllKeys.Len() || len(w.acting()) != 1 {
+		t.Errorf("%d keys are held, %v act", n, w.acting())
+	}
+}
+
+// leaderHost returns the host of the process that acts, empty if none does.
+func (w *world) leaderHost() pimento.HostName {
+	list := w.acting()
+	if len(list) == 0 {
+		return ""
+	}
+	return pimento.HostName(strings.Split(string(list[0]), "-")[0])
+}
+
+// TestMostProcessesAreGone holds that the others go on when most processes are
+// lost for good.
+func TestMostProcessesAreGone(t *testing.T) {
 	inWorld(t, 1, true, func(w *world) {
-		is.Equal(w.heldKeys(), pimento.AllKeys.Len())
-		is.Equal(len(w.acting()), 1)
+		for _, h := range w.hosts[:simProcesses-2] {
+			w.kill(h)
+		}
+		time.Sleep(lossTime)
+		w.checkWhole(t)
+	})
+	inWorld(t, 1, true, func(w *world) { // the leader among them
+		for _, h := range w.hosts[2:] {
+			w.kill(h)
+		}
+		w.kill(w.leaderHost())
+		time.Sleep(lossTime)
+		w.checkWhole(t)
+	})
+}
+
+// TestStaleReadingOfProcesses holds that a process that has joined is not taken
+// for ended when a stale reading still shows the one before it.
+func TestStaleReadingOfProcesses(t *testing.T) {
+	inWorld(t, 1, true, func(w *world) {
+		time.Sleep(time.Second)
+		w.freezeStale()
+		for _, h := range w.hosts[1:5] {
+			w.kill(h)
+			w.start(h)
+			time.Sleep(1500 * time.Millisecond)
+		}
+		time.Sleep(3 * time.Second)
+		for _, h := range w.hosts { // all at once: nobody of the term is left
+			w.kill(h)
+			w.start(h)
+		}
+		time.Sleep(3 * time.Second)
+		w.checkWhole(t)
 	})
 }
 
 // TestOutages holds how long keys are without a holder after single losses.
 func TestOutages(t *testing.T) {
-	leaderOf := func(w *world) pimento.HostName {
-		return pimento.HostName(strings.Split(string(w.acting()[0]), "-")[0])
-	}
 	for _, c := range []struct {
 		name   string
 		strike func(*world)
 		most   time.Duration // without all keys held
 	}{
-		{"leader is lost", func(w *world) { w.kill(leaderOf(w)) }, 0},
-		{"leader is cut from the store", func(w *world) { w.cut(string(leaderOf(w)), storeName) }, 0},
+		{"leader is lost", func(w *world) { w.kill(w.leaderHost()) }, 0},
+		{"leader is cut from the store", func(w *world) { w.cut(string(w.leaderHost()), storeName) }, 0},
 		{"store is down", func(w *world) { w.mu.Lock(); w.storeDown = true; w.mu.Unlock() }, 0},
 		{"leader is isolated", func(w *world) {
-			l := string(leaderOf(w))
+			l := string(w.leaderHost())
 			for _, h := range w.hosts {
 				w.cut(l, string(h))
 				w.cut(string(h), l)
--- a/leader/stand.go
+++ b/leader/stand.go
@@ -21,6 +21,10 @@
 	standPause = 250 * time.Millisecond
 	// voteTimeout bounds a question to an elector.
 	voteTimeout = 350 * time.Millisecond
+	// votePatience is how long a candidate keeps trying to get the votes that
+	// it needs. Then they are lost for good, and the conditional write alone
+	// decides; before, a part that is cut off would end the term of the others.
+	votePatience = 7 * time.Second
 	// writeRetry is the time after a write that got no answer.
 	writeRetry = 150 * time.Millisecond
 )
@@ -172,7 +176,8 @@
 // count writes the next term if enough electors lack a leader.
 func (l *Leader) count(ctx context.Context, epoch uint64, live []pimento.ProcessID, need int) {
 	now := timekeeper.Now()
-	if l.elector.Term().Epoch != epoch || len(live) < need || !l.elector.MayStand(now, l.ended) {
+	patient := l.elector.Silence(now) < votePatience
+	if l.elector.Term().Epoch != epoch || len(live) < need && patient || !l.elector.MayStand(now, l.ended) {
 		l.stopStanding()
 		return
 	}
@@ -208,15 +213,20 @@
 }
 
 // membersFor lists the processes of the next assignment: those that registered
-// last for their hosts, and those that a term still names.
+// last for their hosts, and every one that a term still names, so that it can
+// be told whether that one has ended.
 func (l *Leader) membersFor(a *pimento.Assignment, idle func(pimento.ProcessID) bool) []pimento.Member {
 	byID := make(map[pimento.ProcessID]pimento.Member)
 	for _, m := range a.Members {
-		named := slices.Contains(a.Term.Confirmers, m.ID) ||
-			slices.ContainsFunc(a.Term.Prior, func(set []pimento.ProcessID) bool { return slices.Contains(set, m.ID) })
-		if named && l.ended(m.ID) {
-			m.Idle = true
-			byID[m.ID] = m
+		if a.Term.Names(m.ID) {
+			byID[m.ID] = pimento.Member{Process: m.Process, Idle: idle(m.ID) || l.ended(m.ID)}
+		}
+	}
+	if l.lead != nil {
+		for id, m := range l.lead.members {
+			if a.Term.Names(id) {
+				byID[id] = pimento.Member{Process: m.process, Idle: idle(id)}
+			}
 		}
 	}
 	for _, p := range l.registered {
--- a/leader/world_test.go
+++ b/leader/world_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -30,6 +31,7 @@
 	hosts     []pimento.HostName
 	upstreams map[pimento.UpstreamName]*upstream
 	store     map[string]pimento.Entry
+	stale     map[string]pimento.Entry // what stale reads show; nil: the present
 	revision  uint64
 	storeDown bool
 	quiet     bool    // no load, so that no keys move for balance
@@ -168,6 +170,13 @@
 	return w.quiet
 }
 
+// freezeStale lets stale reads show the store as it is now.
+func (w *world) freezeStale() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stale = maps.Clone(w.store)
+}
+
 func (w *world) isCut(from, to string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -260,12 +269,16 @@
 }
 
 // List implements pimento.Store.
-func (p *process) List(ctx context.Context, kind pimento.StoreKind, _ pimento.Freshness) (pimento.Listing, error) {
+func (p *process) List(ctx context.Context, kind pimento.StoreKind, fresh pimento.Freshness) (pimento.Listing, error) {
 	var out pimento.Listing
 	err := p.call(ctx, func() error {
 		p.w.mu.Lock()
 		defer p.w.mu.Unlock()
-		for _, e := range p.w.store {
+		store := p.w.store
+		if fresh == pimento.FreshnessStale && p.w.stale != nil {
+			store = p.w.stale
+		}
+		for _, e := range store {
 			if e.Kind == kind {
 				out.Entries = append(out.Entries, e)
 			}
