--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -42,6 +42,8 @@
 	lingerTimeout = time.Second
 	// dropTimeout bounds how long the rest of a body is read that nobody wants.
 	dropTimeout = 5 * time.Second
+	// fetchSize is how much of a body in bytes is read before its request runs.
+	fetchSize = 64 << 10
 	// noLimit is a limit that no message reaches, in bytes.
 	noLimit = 1 << 62
 	// writeTimeout bounds the time in which a caller takes nothing of an answer.
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -91,7 +91,7 @@
 	if err := c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)); err != nil {
 		return false
 	}
-	c.head.N = limits.HeaderBytes + bufferSize
+	c.head.N = max(0, limits.HeaderBytes-int64(c.r.Buffered()))
 	req, err := http.ReadRequest(c.r)
 	arrived := time.Now()
 	if err != nil {
@@ -102,6 +102,9 @@
 		return false
 	}
 	x := c.exchange(req, arrived, limits)
+	if x.body != nil && x.err == nil {
+		x.err = x.fetch(req)
+	}
 	c.begin(x)
 	if x.body != nil && !x.body.finish() {
 		return false // the next request cannot be found
@@ -193,6 +196,7 @@
 	req.Header.Del("Expect")
 	x.err = c.a.Wire.ReadRequest(req.Header, arrived, r)
 	if req.ContentLength > limits.BodyBytes {
+		x.last = true // the rest of the body is not read
 		x.err = pimento.NotRun(pimento.ReasonBodyTooLarge, "the body is larger than operators allow")
 	}
 	return x
--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -1,12 +1,14 @@
 package acceptor
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httputil"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -20,9 +22,10 @@
 	conn    *conn
 	request *pimento.Request
 	method  string
-	body    *body // nil where the request has none
-	last    bool  // the caller wants no other answer on this connection
-	err     error // the request is faulty
+	body    *body  // nil where the request has none
+	begin   []byte // of the body, read before the request runs
+	last    bool   // the caller wants no other answer on this connection
+	err     error  // the request is faulty
 	turn    chan struct{}
 
 	ready   chan struct{} // closed when answer or out is set; nil: it is
@@ -31,6 +34,35 @@
 	release context.CancelFunc
 }
 
+// fetch reads a short body whole before the request runs, or the beginning of
+// a longer one. A request that waits then holds up neither the next one nor the
+// finding out that its caller has left. A body that is to be asked for is left.
+func (x *exchange) fetch(req *http.Request) error {
+	if x.body.proceed != nil {
+		return nil
+	}
+	if err := x.conn.raw.SetReadDeadline(x.request.Deadline); err != nil {
+		return pimento.NotRun(pimento.ReasonBodyCut, err.Error())
+	}
+	begin := make([]byte, fetchSize)
+	n, err := io.ReadFull(x.body, begin)
+	switch {
+	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) && x.body.whole():
+		x.request.BodyLength = int64(n)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		x.last = true
+		return pimento.NotRun(pimento.ReasonCallerSlow, "the body has not come before the deadline")
+	case err != nil:
+		x.last = true
+		return pimento.NotRun(pimento.ReasonBodyCut, err.Error())
+	}
+	x.begin = begin[:n]
+	if err := x.conn.raw.SetReadDeadline(time.Time{}); err != nil {
+		return pimento.NotRun(pimento.ReasonBodyCut, err.Error())
+	}
+	return nil
+}
+
 // run lets the handler answer the request.
 func (x *exchange) run() {
 	defer close(x.ready)
@@ -38,7 +70,7 @@
 	x.release = cancel
 	var src io.Reader = http.NoBody
 	if x.body != nil {
-		src = x.body
+		src = io.MultiReader(bytes.NewReader(x.begin), x.body)
 	}
 	answer, err := x.conn.a.Handler.Handle(ctx, x.request, src)
 	if x.body != nil {
@@ -239,6 +271,9 @@
 func (b *body) Read(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.end == io.EOF {
+		return 0, io.EOF
+	}
 	if b.left.Load() {
 		return 0, io.ErrClosedPipe
 	}
@@ -264,6 +299,13 @@
 	return n, err
 }
 
+// whole reports whether all of the body has been read.
+func (b *body) whole() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.end == io.EOF
+}
+
 // abandon says that the handler reads no more.
 func (b *body) abandon() {
 	b.once.Do(func() { close(b.done) })
--- a/connector/client.go
+++ b/connector/client.go
@@ -267,25 +267,31 @@
 	return err
 }
 
-// writeBody writes the body with its length or in chunks.
+// writeBody writes the body with its length or in chunks. A long body goes out
+// as it comes.
 func (e *exchange) writeBody(body io.Reader) error {
-	if e.request.BodyLength >= 0 {
-		if _, err := io.CopyN(e.conn.w, body, e.request.BodyLength); err != nil {
+	if n := e.request.BodyLength; n >= 0 && n <= bufferSize {
+		if _, err := io.CopyN(e.conn.w, body, n); err != nil {
 			return err
 		}
 		return e.conn.w.Flush()
 	}
-	chunks := httputil.NewChunkedWriter(e.conn.w)
-	if _, err := io.Copy(chunks, body); err != nil {
+	if err := e.conn.w.Flush(); err != nil {
 		return err
 	}
-	if err := chunks.Close(); err != nil {
+	if e.request.BodyLength >= 0 {
+		_, err := io.CopyN(e.conn.Conn, body, e.request.BodyLength)
 		return err
 	}
-	if _, err := e.conn.w.WriteString("\r\n"); err != nil {
+	chunks := httputil.NewChunkedWriter(e.conn.Conn)
+	if _, err := io.Copy(chunks, body); err != nil {
 		return err
 	}
-	return e.conn.w.Flush()
+	if err := chunks.Close(); err != nil {
+		return err
+	}
+	_, err := io.WriteString(e.conn.Conn, "\r\n")
+	return err
 }
 
 // read reads answers until the one that is due. An answer with another ID
