--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -71,6 +71,7 @@
 
 	mu     sync.Mutex
 	shares map[pimento.RouteName]*share
+	waits  map[pimento.RouteName]time.Duration // longest that callers were ready to wait
 }
 
 // Handle implements acceptor.Handler.
@@ -89,7 +90,7 @@
 	}
 	r.Route = route
 	r.Service = f.target(route)
-	r.GoalAt = now.Add(route.Goal)
+	r.GoalAt = now.Add(route.Goal - f.elapsed(route.Name, r.Deadline.Sub(now)))
 	if end := now.Add(route.Timeout); end.Before(r.Deadline) {
 		r.Deadline = end
 	}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -51,6 +51,7 @@
 	if p.config.Keyed {
 		return p.placeKeyed(now, t)
 	}
+	high := p.highOf(t.Route)
 	var best, late *upstream
 	var bestCost, lateCost time.Duration
 	for _, u := range p.upstreams {
@@ -61,7 +62,7 @@
 		if slices.Contains(t.Avoid, u.Name) {
 			c *= 4 // better than none
 		}
-		if now.Add(p.expected(now, t, u)).After(t.GoalAt) {
+		if now.Add(scale(p.expected(now, t, u), high)).After(t.GoalAt) {
 			if late == nil || less(c, lateCost, u, late) {
 				late, lateCost = u, c
 			}
@@ -83,6 +84,8 @@
 	return late
 }
 
+func scale(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
+
 // less orders by cost, and by name so that the order is the same each time.
 func less(a, b time.Duration, x, y *upstream) bool {
 	if a != b {
@@ -94,6 +97,7 @@
 // worthWaiting reports whether a request may still be answered in time by an
 // upstream that is busy now, of the given failure domain or, with none, of any.
 func (p *Pool) worthWaiting(now time.Time, t *Ticket, domain pimento.DomainName) bool {
+	high := p.highOf(t.Route)
 	for _, u := range p.upstreams {
 		if domain != "" && u.Domain != domain {
 			continue
@@ -103,7 +107,7 @@
 		}
 		d := p.expected(now, t, u)
 		wait := d / time.Duration(max(1, u.Slots))
-		if !now.Add(wait + d).After(t.GoalAt) {
+		if !now.Add(wait + scale(d, high)).After(t.GoalAt) {
 			return true
 		}
 	}
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -90,10 +90,12 @@
 	Upstream
 	running map[uint64]*running
 	speed   speed
+	usual   speed // over a longer time
 	health  health
 	cold    cold
 	load    pimento.LoadReport
 	loadAt  time.Time
+	timely  rate // requests for its keys that meet their goal
 }
 
 // running is a request that has a permit.
@@ -113,6 +115,7 @@
 	works     map[pimento.RouteName]*work
 	work      work // of all routes together
 	budget    budget
+	timely    rate   // requests that meet their goal
 	draws     uint64 // for spreading returns
 }
 
--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -35,27 +35,40 @@
 	// startWork is the time that a request is expected to take before any was
 	// measured.
 	startWork = 100 * time.Millisecond
-	// workShare and speedShare are the weights of a new measurement.
+	// workShare, speedShare and usualShare are the weights of a new
+	// measurement: of a route's work, and of an upstream's speed over a few
+	// requests and over many.
 	workShare  = 0.05
 	speedShare = 0.15
+	usualShare = 0.02
 	// maxFactor bounds how slow an upstream is believed to be.
 	maxFactor = 40
 	// minFactor bounds how fast an upstream is believed to be.
 	minFactor = 0.1
 )
 
-// work is how long the requests of a route take at an upstream of usual speed.
+// work is how long the requests of a route take, over all upstreams as they are
+// used.
 type work struct {
-	mean  time.Duration
-	count int
+	mean   time.Duration
+	spread time.Duration // mean distance from the mean
+	count  int
 }
 
 func (w *work) add(d time.Duration) {
 	w.count++
 	share := max(workShare, 1/float64(w.count))
+	w.spread += time.Duration(share * float64((d-w.mean).Abs()-w.spread))
 	w.mean += time.Duration(share * float64(d-w.mean))
 }
 
+// high returns a time that most requests stay below.
+func (w *work) high() time.Duration { return w.mean + time.Duration(highSpread*float64(w.spread)) }
+
+// highSpread is how many mean distances from the mean most requests stay
+// below.
+const highSpread = 1.0
+
 // speed is how slow an upstream is, 1 as usual.
 type speed struct {
 	factor float64
@@ -69,10 +82,10 @@
 	return s.factor
 }
 
-func (s *speed) add(f float64) {
+func (s *speed) add(f, share float64) {
 	f = min(max(f, minFactor), maxFactor)
 	s.count++
-	share := max(speedShare, 1/float64(s.count+1))
+	share = max(share, 1/float64(s.count+1))
 	s.factor = s.value()*(1-share) + share*f
 }
 
@@ -88,6 +101,19 @@
 	return p.work.mean
 }
 
+// highOf returns a time that most requests of a route stay below, relative to
+// their mean.
+func (p *Pool) highOf(r pimento.RouteName) float64 {
+	w, ok := p.works[r]
+	if !ok {
+		w = &p.work
+	}
+	if w.mean <= 0 {
+		return 1
+	}
+	return float64(w.high()) / float64(w.mean)
+}
+
 // expected returns how long a request would take at an upstream. Work that
 // already takes longer than usual shows a slow upstream before its answers do.
 func (p *Pool) expected(now time.Time, t *Ticket, u *upstream) time.Duration {
@@ -127,11 +153,14 @@
 		p.works[r.ticket.Route] = w
 	}
 	if w.count > 0 && !now.Before(u.cold.until) {
-		u.speed.add(float64(result.Took) / float64(w.mean))
+		f := float64(result.Took) / float64(w.mean)
+		u.speed.add(f, speedShare)
+		u.usual.add(f, usualShare)
 	}
-	usual := time.Duration(float64(result.Took) / u.speed.value())
-	w.add(usual)
-	p.work.add(usual)
+	// Not divided by the upstream's factor: work and factors together would
+	// have no scale, and drift.
+	w.add(result.Took)
+	p.work.add(result.Took)
 }
 
 func later(a, b time.Time) time.Time {
--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -16,7 +17,16 @@
 	maxReturn = 3 * time.Second
 	// lateShare is the part of the time until its deadline within which a
 	// request that misses its goal must be expected to be served.
-	lateShare = 0.7
+	lateShare = 0.95
+	// lateFree is the part of the slots that stays free of requests that miss
+	// their goal, for those that do not.
+	lateFree = 0.1
+	// timelyShare is the part of the usual capacity up to which requests that
+	// meet their goal leave room for others.
+	timelyShare = 1.2
+	// rateWindow is the time constant of the rate of requests that meet their
+	// goal.
+	rateWindow = time.Second
 	// moveWait is how long a key may be without a ready owner while its
 	// requests wait.
 	moveWait = 400 * time.Millisecond
@@ -54,6 +64,9 @@
 	}
 	var out []Decision
 	for _, late := range []bool{false, true} {
+		if late && !p.config.Keyed && p.freeShare(now) < lateFree {
+			break
+		}
 		rest := p.waiting[:0]
 		for _, t := range p.waiting {
 			if p.isLate(now, t) != late {
@@ -73,9 +86,24 @@
 	return out
 }
 
+// freeShare returns the part of the slots of all usable upstreams that is free.
+func (p *Pool) freeShare(now time.Time) float64 {
+	slots, used := 0, 0
+	for _, u := range p.upstreams {
+		if u.Usable {
+			slots += p.limit(now, u)
+			used += len(u.running)
+		}
+	}
+	if slots == 0 {
+		return 0
+	}
+	return 1 - float64(used)/float64(slots)
+}
+
 // isLate reports whether a request would miss its goal even if it went now.
 func (p *Pool) isLate(now time.Time, t *Ticket) bool {
-	return now.Add(p.workOf(t.Route)).After(t.GoalAt)
+	return now.Add(scale(p.workOf(t.Route), p.highOf(t.Route))).After(t.GoalAt)
 }
 
 // expire refuses requests that cannot be answered before their deadline.
@@ -110,56 +138,69 @@
 	if p.config.Keyed {
 		return p.turnAwayKeyed(now, t)
 	}
-	wait, ok := p.waitFor(now, t)
+	wait, o, ok := p.waitFor(now, t)
 	if !ok {
 		return p.refuse(now, breakMost, "no upstream of the service can be reached")
 	}
-	return p.judge(now, t, wait, p.workOf(t.Route))
+	return p.judge(now, t, wait, p.workOf(t.Route), o)
 }
 
 // judge refuses a request that would start after the given wait, if it could
-// not be answered within its goal nor, with some certainty, before its
-// deadline.
-func (p *Pool) judge(now time.Time, t *Ticket, wait, work time.Duration) *pimento.OutcomeError {
-	end := now.Add(wait + work)
-	if !end.After(t.GoalAt) {
+// not be answered within its goal nor, from what those that meet theirs leave
+// of the capacity, before its deadline.
+func (p *Pool) judge(now time.Time, t *Ticket, wait, work time.Duration, o *line) *pimento.OutcomeError {
+	if !now.Add(wait + scale(work, p.highOf(t.Route))).After(t.GoalAt) {
+		o.timely.add(now)
 		return nil
 	}
-	left := time.Duration(lateShare * float64(t.Deadline.Sub(now)))
-	if wait == 0 && end.Before(t.Deadline) || wait+work < left {
-		return nil
+	if o.timely.value(now) < o.usual*timelyShare {
+		lateWait := time.Duration(float64(o.late+1) / o.capacity * float64(time.Second))
+		if wait+lateWait+work < scale(t.Deadline.Sub(now), lateShare) {
+			return nil
+		}
 	}
 	back := wait - t.GoalAt.Sub(t.Arrived)/2
 	return p.refuse(now, back, fmt.Sprintf("room is expected only after %s", wait.Round(time.Millisecond)))
 }
 
+// line is what a request that waits competes for: all upstreams of a pool, or
+// the one that holds its key.
+type line struct {
+	timely   *rate   // requests that meet their goal
+	capacity float64 // requests a second, as it is now
+	usual    float64 // the same over a longer time
+	late     int     // that wait and miss their goal
+}
+
 // waitFor estimates how long a request would wait in a pool without keys,
 // false if no upstream is usable.
-func (p *Pool) waitFor(now time.Time, t *Ticket) (time.Duration, bool) {
-	rate, usable := 0.0, false
+func (p *Pool) waitFor(now time.Time, t *Ticket) (time.Duration, *line, bool) {
+	o := &line{timely: &p.timely}
+	open := false
 	for _, u := range p.upstreams {
-		if !u.Usable {
+		if !u.Usable || u.health.breaks > 1 && now.Before(u.health.openAt) {
 			continue
 		}
-		if p.open(now, u) {
-			return 0, true
-		}
-		if u.health.breaks > 1 && now.Before(u.health.openAt) {
-			continue
-		}
-		usable = true
-		rate += p.throughput(now, t, u)
+		open = open || p.open(now, u)
+		o.capacity += p.throughput(now, t, u)
+		o.usual += p.usual(t, u)
 	}
-	if !usable || rate == 0 {
-		return 0, false
+	if o.capacity == 0 {
+		return 0, nil, false
 	}
 	ahead := 1
-	for _, o := range p.waiting {
-		if before(o, t) < 0 {
+	for _, x := range p.waiting {
+		late := p.isLate(now, x)
+		if late {
+			o.late++
+		} else if before(x, t) < 0 {
 			ahead++
 		}
 	}
-	return time.Duration(float64(ahead) / rate * float64(time.Second)), true
+	if open && ahead == 1 {
+		return 0, o, true
+	}
+	return time.Duration(float64(ahead) / o.capacity * float64(time.Second)), o, true
 }
 
 // throughput returns how many requests a second an upstream ends.
@@ -170,6 +211,12 @@
 	return float64(u.Slots) / max(p.expected(now, t, u).Seconds(), 0.001)
 }
 
+// usual returns how many requests a second an upstream ends over a longer time
+// than the spells in which its neighbours slow it down.
+func (p *Pool) usual(t *Ticket, u *upstream) float64 {
+	return float64(u.Slots) / max(p.workOf(t.Route).Seconds()*u.usual.value(), 0.001)
+}
+
 // turnAwayKeyed is turnAway for a request that only one upstream may run.
 func (p *Pool) turnAwayKeyed(now time.Time, t *Ticket) *pimento.OutcomeError {
 	u, o := p.ownerOf(t.Key)
@@ -184,15 +231,39 @@
 	if u.health.breaks > 1 && now.Before(u.health.openAt) {
 		return p.refuse(now, u.health.openAt.Sub(now), "the holder of the key cannot be reached")
 	}
-	if p.open(now, u) {
-		return nil
-	}
+	l := &line{timely: &u.timely, capacity: p.throughput(now, t, u), usual: p.usual(t, u)}
 	ahead := 1
 	for _, x := range p.waiting {
-		if x, _ := p.owner(x.Key); x.Upstream == o.Upstream {
+		if owner, _ := p.owner(x.Key); owner.Upstream != o.Upstream {
+			continue
+		}
+		if p.isLate(now, x) {
+			l.late++
+		} else if before(x, t) < 0 {
 			ahead++
 		}
 	}
-	wait := time.Duration(float64(ahead) / p.throughput(now, t, u) * float64(time.Second))
-	return p.judge(now, t, wait, p.expected(now, t, u))
+	wait := time.Duration(float64(ahead) / l.capacity * float64(time.Second))
+	if p.open(now, u) && ahead == 1 {
+		wait = 0
+	}
+	return p.judge(now, t, wait, p.expected(now, t, u), l)
+}
+
+// rate is an exponentially weighted rate of requests.
+type rate struct {
+	perSecond float64
+	at        time.Time
+}
+
+func (r *rate) add(now time.Time) {
+	r.perSecond = r.value(now) + 1/rateWindow.Seconds()
+	r.at = now
+}
+
+func (r *rate) value(now time.Time) float64 {
+	if r.at.IsZero() {
+		return 0
+	}
+	return r.perSecond * math.Exp(-now.Sub(r.at).Seconds()/rateWindow.Seconds())
 }
