--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -140,6 +140,15 @@
 	}
 }
 
+// Abort closes all connections at once.
+func (a *Acceptor) Abort() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for c := range a.conns {
+		c.raw.Close()
+	}
+}
+
 // Active returns how many requests have no whole answer yet.
 func (a *Acceptor) Active() int { return int(a.active.Load()) }
 
--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -149,6 +149,8 @@
 	body := io.Reader(x.answer.Body)
 	if x.out != nil {
 		head, body = c.refusal(x), nil
+	} else {
+		c.a.Wire.WriteAnswer(head.Header, x.request)
 	}
 	if err := c.send(x, head, body, last); err != nil {
 		c.raw.Close()
--- a/admitter/serve.go
+++ b/admitter/serve.go
@@ -133,3 +133,17 @@
 	}
 	return loads, speeds
 }
+
+// Upstreams describes the upstreams of the pools that this process dispatches.
+func (a *Admitter) Upstreams() []pimento.UpstreamReport {
+	a.init()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var out []pimento.UpstreamReport
+	for key, p := range a.pools {
+		if a.rank(key) == 0 {
+			out = append(out, p.machine.Reports(time.Now())...)
+		}
+	}
+	return out
+}
--- a/appointer/appointer.go
+++ b/appointer/appointer.go
@@ -48,6 +48,7 @@
 	}
 	for i := range b.pools {
 		b.fill(&b.pools[i])
+		b.number(&b.pools[i])
 	}
 	return b.pools
 }
@@ -101,6 +102,30 @@
 	return nil
 }
 
+// number counts the round of a line.
+func (b *builder) number(p *pimento.Pool) {
+	var before pimento.Pool
+	for _, o := range b.prior {
+		if o.Service == p.Service && o.Index == p.Index {
+			before = o
+		}
+	}
+	p.Round, p.Near = before.Round, before.Near
+	if slices.Equal(p.Line, before.Line) {
+		return
+	}
+	p.Round++
+	for i := range p.Near {
+		p.Near[i] = p.Round
+		if i >= len(p.Line) {
+			continue
+		}
+		if k := slices.Index(before.Line, p.Line[i]); k >= 0 && k < len(before.Near) {
+			p.Near[i] = before.Near[k]
+		}
+	}
+}
+
 // fill appends processes to a line until it is long enough: those in failure
 // domains that the line lacks first, then those with the fewest pools.
 func (b *builder) fill(p *pimento.Pool) {
--- a/assignment.go
+++ b/assignment.go
@@ -21,24 +21,6 @@
 	Write string
 }
 
-// Term is the time of one leader with one set of confirmers. A process leads
-// only while a majority of the confirmers confirms it.
-type Term struct {
-	Epoch      uint64
-	Leader     ProcessID
-	Confirmers []ProcessID
-	// Prior are the sets of confirmers of earlier terms that may not all have
-	// learned of this one.
-	Prior [][]ProcessID
-}
-
-// Names reports whether a process confirms the term, or confirmed an earlier one
-// that may not have ended.
-func (t *Term) Names(id ProcessID) bool {
-	return slices.Contains(t.Confirmers, id) ||
-		slices.ContainsFunc(t.Prior, func(set []ProcessID) bool { return slices.Contains(set, id) })
-}
-
 // Member is a process of the system.
 type Member struct {
 	Process
@@ -53,6 +35,11 @@
 	Service ServiceName
 	Index   int
 	Line    []ProcessID
+	// Round counts the changes of the line.
+	Round uint64
+	// Near is, for the first two in line, the round since when each has been
+	// one of the first two.
+	Near [2]uint64
 }
 
 // Table says which upstreams hold the keys of a service. Its holdings are
--- a/config.go
+++ b/config.go
@@ -31,7 +31,9 @@
 	SharingUnkeyed Sharing = "Unkeyed"
 )
 
-// Fencing says whether the upstreams of a service check grants.
+// Fencing says whether the upstreams of a service check grants. Those of a
+// service that is divided by key must, since that is what keeps a key with one
+// owner.
 type Fencing string
 
 // The kinds of fencing.
@@ -173,6 +175,11 @@
 			v.Add(fmt.Sprintf("Service of category %q", x.Name), string(x.Service), "a service of this sheet")
 		}
 	}
+	for _, x := range c.Services {
+		if x.Sharing == SharingKeyed && x.Fencing == FencingUnchecked {
+			v.Add(fmt.Sprintf("Fencing of service %q", x.Name), string(x.Fencing), "Checked, since the service is divided by key")
+		}
+	}
 	for _, x := range c.Hosts {
 		if _, ok := c.Domain(x.Domain); !ok {
 			v.Add(fmt.Sprintf("Domain of host %q", x.Name), string(x.Domain), "a failure domain of this sheet")
--- a/deduper/book.go
+++ b/deduper/book.go
@@ -1,11 +1,9 @@
 // Package deduper remembers non-idempotent requests, so that each runs at most
 // once however often its caller sends it.
 //
-// The dispatcher of a request's slice keeps a [Book]. A duplicate waits for
-// the one that runs, or gets the same answer. Every process also keeps a Book
-// as a witness of requests that another process runs, so that no loss of one
-// failure domain loses a record; a new dispatcher gathers them before it
-// admits requests.
+// The process that keeps the records of a service has a [Book]; another one, in
+// another failure domain where there is one, has a copy. A duplicate waits for
+// the request that runs, or gets the same answer.
 //
 // # Usage
 //
@@ -66,7 +64,7 @@
 func (b *Book) Begin(now time.Time, r pimento.Record) (*Entry, State) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if e, ok := b.entries[r.ID]; ok && now.Before(e.record.Expires) && !retracted(e, r) {
+	if e, ok := b.entries[r.ID]; ok && now.Before(e.record.Expires) {
 		if isDone(e) {
 			return e, Finished
 		}
@@ -82,12 +80,6 @@
 	return e, Fresh
 }
 
-// retracted reports whether the witness from which an entry came sends the
-// request again. It does so only after a copy that was not run.
-func retracted(e *Entry, r pimento.Record) bool {
-	return isDone(e) && e.record.State == pimento.RecordRunning && r.Witness != "" && e.record.Witness == r.Witness
-}
-
 // Read returns the record of an entry.
 func (b *Book) Read(e *Entry) pimento.Record {
 	b.mu.Lock()
@@ -126,15 +118,54 @@
 func (b *Book) Finish(e *Entry, state pimento.RecordState, answer pimento.AnswerHead, body []byte) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.finish(e, state, answer, body)
+}
+
+// finish makes a record final once. The caller holds mu.
+func (b *Book) finish(e *Entry, state pimento.RecordState, answer pimento.AnswerHead, body []byte) {
+	if isDone(e) {
+		return
+	}
 	e.record.State, e.record.Answer, e.record.Body = state, answer, body
 	b.bytes += len(body)
 	close(e.Done)
 }
 
+// Abandon ends the requests of a process that is gone: they may have run.
+func (b *Book) Abandon(runner pimento.ProcessID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, e := range b.entries {
+		if e.record.Runner == runner {
+			b.finish(e, pimento.RecordUnknown, pimento.AnswerHead{}, nil)
+		}
+	}
+}
+
+// End makes the record of a request final that another process ran, whether it
+// was entered here or only copied. A record without a state is dropped.
+func (b *Book) End(now time.Time, r pimento.Record) {
+	b.mu.Lock()
+	e, ok := b.entries[r.ID]
+	runs := ok && !isDone(e)
+	b.mu.Unlock()
+	switch {
+	case runs && r.State == "":
+		b.Drop(e)
+	case runs:
+		b.Finish(e, r.State, r.Answer, r.Body)
+	default:
+		b.Merge(now, []pimento.Record{r})
+	}
+}
+
 // Drop forgets a request that certainly did not run, so that it may run later.
 func (b *Book) Drop(e *Entry) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if isDone(e) {
+		return
+	}
 	if b.entries[e.record.ID] == e {
 		delete(b.entries, e.record.ID)
 	}
@@ -142,22 +173,26 @@
 	close(e.Done)
 }
 
-// Merge takes in records of other processes. What runs here stays, and an
-// answer goes before a record without one. Of two records without an answer
-// but with different witnesses neither witness can say that nothing ran, so
-// the merged record names none.
+// Merge takes in copies of records of another process. What runs here stays,
+// and an answer goes before a record without one. A copy without a state takes
+// the record away.
 func (b *Book) Merge(now time.Time, records []pimento.Record) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, r := range records {
 		old, ok := b.entries[r.ID]
-		if ok && now.Before(old.record.Expires) {
-			if !isDone(old) || old.record.State == pimento.RecordAnswered {
-				continue
-			}
-			if r.State != pimento.RecordAnswered && r.Witness != old.record.Witness {
-				r.Witness = ""
+		if ok && !isDone(old) {
+			continue
+		}
+		if r.State == "" {
+			if ok {
+				b.bytes -= len(old.record.Body)
+				delete(b.entries, r.ID)
 			}
+			continue
+		}
+		if ok && now.Before(old.record.Expires) && old.record.State == pimento.RecordAnswered {
+			continue
 		}
 		r.Expires = now.Add(KeepFor)
 		e := &Entry{record: r, Done: make(chan struct{})}
@@ -175,16 +210,6 @@
 	}
 }
 
-// Remove forgets a record, for a witness whose request did not run.
-func (b *Book) Remove(id string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if e, ok := b.entries[id]; ok && isDone(e) {
-		b.bytes -= len(e.record.Body)
-		delete(b.entries, id)
-	}
-}
-
 // Select returns the records for which match holds. Those that run here are
 // returned as Running.
 func (b *Book) Select(now time.Time, match func(*pimento.Record) bool) []pimento.Record {
@@ -199,15 +224,6 @@
 	return out
 }
 
-// SetWitness notes which process keeps a copy of a record.
-func (b *Book) SetWitness(id string, witness pimento.ProcessID) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if e, ok := b.entries[id]; ok {
-		e.record.Witness = witness
-	}
-}
-
 // Len returns the number of records.
 func (b *Book) Len() int {
 	b.mu.Lock()
--- a/fault.go
+++ b/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"time"
 )
@@ -150,6 +151,30 @@
 	return fmt.Sprintf("%s: %s: %s", e.Outcome, e.Reason, e.Detail)
 }
 
+// Status returns the HTTP status that tells a caller of the outcome. 408, 429
+// and 503 promise that the request has not run and never will; 502 and 504
+// promise nothing.
+func (e *OutcomeError) Status() int {
+	switch {
+	case e.Reason == ReasonNoRoute:
+		return http.StatusNotFound
+	case e.Reason == ReasonHeaderTooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge
+	case e.Reason == ReasonBodyTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case e.Reason == ReasonCallerSlow:
+		return http.StatusRequestTimeout
+	case e.Reason == ReasonBadRequest || e.Reason == ReasonBodyCut:
+		return http.StatusBadRequest
+	case e.Outcome == OutcomeNotRun:
+		return http.StatusServiceUnavailable
+	case e.Reason == ReasonTimeout:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusBadGateway
+	}
+}
+
 // NotRun returns an OutcomeError for a request that certainly was not run.
 func NotRun(reason Reason, detail string) *OutcomeError {
 	return &OutcomeError{Outcome: OutcomeNotRun, Reason: reason, Detail: detail}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -63,11 +63,25 @@
 	Acquire(ctx context.Context, r *pimento.Request, try Try) (Permit, error)
 }
 
+// Records remembers requests that callers named.
+type Records interface {
+	// Begin enters a request, or returns what is known of an earlier copy. The
+	// error is an *pimento.OutcomeError.
+	Begin(ctx context.Context, r *pimento.Request) (record pimento.Record, fresh bool, err error)
+	// Finish records the end of a request that was fresh. A record without a
+	// state says that it was not run.
+	Finish(ctx context.Context, record pimento.Record)
+}
+
 // Forwarder implements acceptor.Handler. Set the exported fields before use.
 type Forwarder struct {
 	// View returns the configuration in force, or nil if none is known yet.
 	View     func() *View
 	Dispatch Dispatcher
+	// Records remembers requests that callers named; nil: nothing does.
+	Records Records
+	// NeedKey refuses requests without a key for services divided by key.
+	NeedKey bool
 
 	mu     sync.Mutex
 	shares map[pimento.RouteName]*share
@@ -90,10 +104,19 @@
 	}
 	r.Route = route
 	r.Service = f.target(route)
+	if service, _ := view.Manifest.Service(r.Service); f.NeedKey && service.Sharing == pimento.SharingKeyed && !r.Keyed {
+		return pimento.Answer{}, pimento.NotRun(pimento.ReasonBadRequest, "the service is divided by key, and the request has none")
+	}
+	if route.Strip {
+		r.Path = "/" + strings.TrimPrefix(r.Path, route.Prefix)
+	}
 	r.GoalAt = now.Add(route.Goal - f.elapsed(route.Name, r.Deadline.Sub(now)))
 	if end := now.Add(route.Timeout); end.Before(r.Deadline) {
 		r.Deadline = end
 	}
+	if r.Named && f.Records != nil && !route.Idempotent(r.Method) {
+		return f.once(ctx, r, body)
+	}
 	return f.forward(ctx, r, body)
 }
 
@@ -128,7 +151,7 @@
 	if len(try.Avoid) < try.Number {
 		return false // the dispatcher itself refused
 	}
-	return out.Outcome == pimento.OutcomeNotRun || r.Route.Idempotent()
+	return out.Outcome == pimento.OutcomeNotRun || r.Route.Idempotent(r.Method)
 }
 
 // try sends a request once.
--- a/header.go
+++ b/header.go
@@ -5,9 +5,9 @@
 	"strings"
 )
 
-// The headers that the system reads and writes. Those of callers are
-// HeaderKey, HeaderIdempotencyKey, HeaderTimeout; those towards callers are
-// HeaderOutcome, HeaderReason and HeaderRequestID; the others are for
+// The headers of the product's own wire. Those of callers are HeaderKey,
+// HeaderIdempotencyKey and HeaderTimeout; those towards callers HeaderOutcome,
+// HeaderReason and HeaderRequestID; the others are between the system and
 // upstreams.
 const (
 	HeaderKey            = "Relay-Key"
@@ -16,8 +16,11 @@
 	HeaderOutcome        = "Relay-Outcome"
 	HeaderReason         = "Relay-Reason"
 	HeaderRequestID      = "Relay-Request-Id"
-	HeaderKeyHash        = "Relay-Key-Hash"
-	HeaderFence          = "Relay-Fence"
+	HeaderPlace          = "Relay-Place"    // of the key, 0 to 65535
+	HeaderUpstream       = "Relay-Upstream" // the only one that may run the request
+	HeaderLoad           = "Relay-Load"     // running, waiting, slots
+	HeaderCold           = "Relay-Cold"     // how long the upstream stays cold
+	HeaderHandover       = "Relay-Handover"
 )
 
 // headerPrefix is common to the system's own headers.
@@ -42,14 +45,10 @@
 	}
 }
 
-// StripHeader removes from h what must not be passed on: headers of one
-// connection and headers that only the system itself may set.
-func StripHeader(h http.Header) {
-	StripConnection(h)
+// StripOwn removes from h the headers that only the system itself may set.
+func StripOwn(h http.Header) {
 	for name := range h {
-		// net/http sends a request with an idempotency key a second time when
-		// a connection breaks. The upstream gets HeaderRequestID instead.
-		if strings.HasPrefix(name, headerPrefix) || strings.HasSuffix(name, HeaderIdempotencyKey) {
+		if strings.HasPrefix(name, headerPrefix) || name == HeaderIdempotencyKey {
 			delete(h, name)
 		}
 	}
--- a/leader/ask.go
+++ b/leader/ask.go
@@ -26,7 +26,7 @@
 	process  pimento.Process
 	heardAt  time.Time // or when it became a member
 	answered bool      // it has answered in this term
-	failures int // questions without an answer, in a row
+	failures int       // questions without an answer, in a row
 	leaving  bool
 	askAt    time.Time
 	asking   bool
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -60,16 +60,6 @@
 	Forget(id pimento.ProcessID)
 }
 
-// Registry reads what upstreams and operators wrote into the store.
-type Registry interface {
-	// Upstreams returns the registered upstreams. Their WarmAt is on the clock
-	// of timekeeper.
-	Upstreams(ctx context.Context) ([]pimento.Server, error)
-	// Out waits until the failure domains that are to get no work may differ
-	// from those as of a revision; with zero it returns at once.
-	Out(ctx context.Context, after uint64, wait time.Duration) (out []pimento.DomainName, changed bool, revision uint64, err error)
-}
-
 // Grantor calls upstreams.
 type Grantor interface {
 	// Grant gives keys or renews a grant; see connector.Client.
@@ -96,23 +86,24 @@
 // Leader is the part of a process that may lead. Set the exported fields
 // before Run.
 type Leader struct {
-	Self     pimento.Process
-	Store    pimento.Store
-	Registry Registry
-	Peers    Peers
-	Member   Member
-	Events   *recorder.Recorder
-	Timing   elector.Timing
-	Keys     keeper.Timing
-	Grantor  Grantor
-
-	inbox   chan func()
-	elector *elector.Machine
-	keeper  *keeper.Machine
-	leaving atomic.Bool
-	leads   atomic.Bool
-	led     atomic.Bool
-	storeAt atomic.Int64 // when the store last answered, in Unix nanoseconds of timekeeper
+	Self    pimento.Process
+	Store   pimento.Store
+	Source  pimento.Source
+	Peers   Peers
+	Member  Member
+	Events  *recorder.Recorder
+	Timing  elector.Timing
+	Keys    keeper.Timing
+	Grantor Grantor
+
+	inbox    chan func()
+	elector  *elector.Machine
+	keeper   *keeper.Machine
+	leaving  atomic.Bool
+	leads    atomic.Bool
+	led      atomic.Bool
+	termSeen atomic.Pointer[pimento.Term]
+	storeAt  atomic.Int64 // when the store last answered, in Unix nanoseconds of timekeeper
 
 	// authority is the end of this process's authority, in Unix nanoseconds.
 	authority atomic.Int64
@@ -193,6 +184,14 @@
 // storeFresh is how long ago the store may have answered to count as reached.
 const storeFresh = 900 * time.Millisecond
 
+// Term returns the latest term that is known here.
+func (l *Leader) Term() pimento.Term {
+	if t := l.termSeen.Load(); t != nil {
+		return *t
+	}
+	return pimento.Term{}
+}
+
 // Leads reports whether this process leads.
 func (l *Leader) Leads() bool { return l.leads.Load() }
 
@@ -244,6 +243,9 @@
 	l.authority.Store(nanos(l.elector.AuthorityUntil()))
 	l.leads.Store(l.elector.Leads())
 	l.led.Store(l.elector.IsLed(now))
+	if t := l.elector.Term(); l.Term().Epoch != t.Epoch {
+		l.termSeen.Store(&t)
+	}
 	if l.elector.Leads() && l.lead == nil {
 		l.beginTerm(ctx, now)
 	}
--- a/leader/registry.go
+++ b/leader/registry.go
@@ -192,7 +192,7 @@
 	t := l.lead
 	t.listing = true
 	go func() {
-		list, err := l.Registry.Upstreams(t.ctx)
+		list, err := l.Source.Upstreams(t.ctx)
 		if err == nil {
 			l.noteStore()
 		}
@@ -220,12 +220,13 @@
 func (l *Leader) followOut(t *term) {
 	var after uint64
 	for t.ctx.Err() == nil {
-		out, changed, revision, err := l.Registry.Out(t.ctx, after, outWait)
-		after = revision
+		out, changed, revision, err := l.Source.Out(t.ctx, after, outWait)
 		if err != nil {
+			after = 0
 			sleep(t.ctx, outRetry)
 			continue
 		}
+		after = revision
 		l.noteStore()
 		if changed {
 			l.postTerm(t, func() { t.upstreams.setOut(timekeeper.Now(), out, l.coldFor) })
--- a/load/outage.go
+++ b/load/outage.go
@@ -17,8 +17,8 @@
 	"pimentorelay.example/pimento/assembler"
 	"pimentorelay.example/pimento/examples"
 	"pimentorelay.example/pimento/parser"
-	"pimentorelay.example/pimento/platformfaker"
 	"pimentorelay.example/pimento/sender"
+	"pimentorelay.example/pimento/storefaker"
 	"pimentorelay.example/pimento/upstreamfaker"
 )
 
@@ -164,7 +164,7 @@
 		return 0, 0, err
 	}
 	if down {
-		d.Platform.Inject(platformfaker.Faults{Down: true})
+		d.Store.Inject(storefaker.Faults{Outage: storefaker.OutageReset})
 	}
 	p := &prober{urls: []string{d.URL(1), d.URL(3), d.URL(4), d.URL(6)}}
 	p.start()
--- a/load/overhead.go
+++ b/load/overhead.go
@@ -22,8 +22,6 @@
 	maxLatency = time.Minute
 	// digits is the number of significant digits of a latency.
 	digits = 3
-	// directHash stands for key hash and fence in direct requests.
-	directHash = "1"
 )
 
 const overheadHelp = `Measures what the router adds: one read after the other, straight to an
@@ -87,13 +85,7 @@
 }
 
 func readDirect(s pimento.Server) error {
-	req, err := http.NewRequest(http.MethodGet, "http://"+s.Address.String()+"/serve/tone", nil)
-	if err != nil {
-		return err
-	}
-	req.Header.Set(pimento.HeaderKeyHash, directHash)
-	req.Header.Set(pimento.HeaderFence, directHash)
-	res, err := http.DefaultClient.Do(req)
+	res, err := http.Get("http://" + s.Address.String() + "/tone")
 	if err != nil {
 		return err
 	}
--- a/manifest.go
+++ b/manifest.go
@@ -72,9 +72,9 @@
 			v.Add(fmt.Sprintf("Prefix of route %q", r.Name), r.Prefix, "a path that begins and ends with a slash")
 		}
 		switch r.Kind {
-		case RouteIdempotent, RouteOnce, RouteUpload:
+		case RouteIdempotent, RouteOnce, RouteUpload, RouteByMethod:
 		default:
-			v.Add(fmt.Sprintf("Kind of route %q", r.Name), string(r.Kind), "Idempotent, Once or Upload")
+			v.Add(fmt.Sprintf("Kind of route %q", r.Name), string(r.Kind), "Idempotent, Once, Upload or ByMethod")
 		}
 		if len(r.Targets) == 0 {
 			v.Add(fmt.Sprintf("Targets of route %q", r.Name), "", "one service or more")
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -34,6 +34,10 @@
 	Refusal  *Refusal  `cbor:"12,keyasint,omitempty"`
 	Done     *Done     `cbor:"13,keyasint,omitempty"`
 	Join     *Join     `cbor:"14,keyasint,omitempty"`
+	Enter    *Enter    `cbor:"15,keyasint,omitempty"`
+	Entered  *Entered  `cbor:"16,keyasint,omitempty"`
+	Finish   *Finish   `cbor:"17,keyasint,omitempty"`
+	Copy     *Copy     `cbor:"18,keyasint,omitempty"`
 }
 
 // Hello begins a connection. Token is the one with which the other process
--- a/process.go
+++ b/process.go
@@ -14,17 +14,9 @@
 	ID       ProcessID
 	Host     HostName
 	Domain   DomainName
-	Peer     netip.AddrPort // QUIC, between processes
+	Peer     netip.AddrPort // TCP, between processes
 	Caller   netip.AddrPort // HTTP, for callers
 	Operator netip.AddrPort // HTTP, for operators
-	CertHash []byte         // SHA-256 of the process's certificate
 	Token    string         // what other processes show to speak to this one
 	Started  time.Time
-	Leaving  bool // a graceful shutdown has begun
-}
-
-// Supersedes reports whether p listens where old did and started later. Then
-// old has ended, since two processes cannot listen on one address.
-func (p Process) Supersedes(old Process) bool {
-	return p.ID != old.ID && p.Peer == old.Peer && p.Started.After(old.Started)
 }
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	r := &recorder.Recorder{Process: id, Log: logger}
-//	r.Emit(pimento.EventSliceTaken, "Slice", id, "Upstream", name)
+//	r.Emit(pimento.EventGrantFailed, "Upstream", name, "Keys", keys)
 //	r.Observe(message.Stamp)
 //	events := r.Events()
 package recorder
--- a/relay/main.go
+++ b/relay/main.go
@@ -1,10 +1,10 @@
 // Command relay is one entry process of pimentorelay. It takes requests from
-// callers, passes each to the process that dispatches its key, and dispatches
-// the upstreams that the plan gives it.
+// callers, sends each to an upstream with the leave of the process that
+// dispatches there, dispatches what the assignment gives it, and may lead.
 //
 // # Usage
 //
-//	relay run --host entry-1 --domain ub-bayangol --platform http://192.0.2.7:8400
+//	relay run --host entry-1 --domain ub-bayangol --platform 192.0.2.7:8400
 //
 // SIGTERM and SIGINT begin a graceful shutdown.
 package main
--- a/relayctl/apply.go
+++ b/relayctl/apply.go
@@ -6,12 +6,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"reflect"
 	"time"
 
 	"github.com/spf13/cobra"
 
 	"pimentorelay.example/pimento"
 	"pimentorelay.example/pimento/parser"
+	"pimentorelay.example/pimento/surveyor"
 )
 
 const (
@@ -96,25 +98,31 @@
 	if err != nil {
 		return 0, err
 	}
-	version, err := c.platform.Put(ctx, pimento.ObjectConfig, based, value)
+	e := pimento.Entry{Kind: surveyor.KindConfig, Name: surveyor.ConfigName, Revision: based, Value: value}
+	save := c.store.Replace
+	if based == 0 {
+		save = c.store.Create
+	}
+	saved, err := save(ctx, e)
 	var conflict *pimento.ConflictError
+	var exists *pimento.ExistsError
 	var lost *pimento.UnreachableError
 	switch {
-	case errors.As(err, &conflict):
+	case errors.As(err, &conflict), errors.As(err, &exists):
 		return 0, c.conflict(ctx, config, based)
-	case errors.As(err, &lost):
+	case errors.As(err, &lost) && !lost.Unsent:
 		return c.readBack(ctx, value, based, err)
 	}
-	return version, err
+	return saved.Revision, err
 }
 
 // readBack finds out whether a write without an answer took effect.
 func (c *client) readBack(ctx context.Context, value []byte, based uint64, cause error) (uint64, error) {
 	for range readBackTries {
 		time.Sleep(readBackPause)
-		o, err := c.platform.Get(ctx, pimento.ObjectConfig)
-		if err == nil && string(o.Value) == string(value) {
-			return o.Version, nil
+		e, err := c.store.Get(ctx, surveyor.KindConfig, surveyor.ConfigName)
+		if err == nil && sameJSON(e.Value, value) {
+			return e.Revision, nil
 		}
 	}
 	return 0, &uncertainError{cause: fmt.Errorf("it cannot be told whether the sheet was accepted; it was based on version %d: %w", based, cause)}
@@ -130,19 +138,27 @@
 	for _, change := range parser.Diff(now, config) {
 		fmt.Fprintln(c.out, change)
 	}
-	return &pimento.ConflictError{Object: pimento.ObjectConfig, Based: based, Current: version}
+	return &pimento.ConflictError{Object: string(surveyor.KindConfig), Based: based, Current: version}
+}
+
+// sameJSON reports whether two documents say the same: the store may write
+// JSON in its own way.
+func sameJSON(a, b []byte) bool {
+	var x, y any
+	return json.Unmarshal(a, &x) == nil && json.Unmarshal(b, &y) == nil && reflect.DeepEqual(x, y)
 }
 
-// awaitForce waits until every listed process has the version in force.
+// awaitForce waits until every process that runs has the version in force.
 func (c *client) awaitForce(ctx context.Context, progress io.Writer, r *applied, deadline time.Time) error {
 	last := -1
 	for {
-		plan, err := c.processes(ctx)
+		a, err := c.assignment(ctx)
 		if err == nil {
-			states, errs := fromAll[pimento.Status](ctx, c, plan.Processes, "/status")
+			list := active(&a)
+			states, errs := fromAll[pimento.Status](ctx, c, list, "/status")
 			r.Listed, r.InForce = len(states), 0
 			for i, s := range states {
-				if errs[i] == nil && s.Confirmed && s.ConfigVersion >= r.Version {
+				if errs[i] == nil && s.Led && s.ManifestVersion >= r.Version {
 					r.InForce++
 				}
 			}
@@ -160,3 +176,14 @@
 		time.Sleep(forcePause)
 	}
 }
+
+// active returns the processes that the leader counts on.
+func active(a *pimento.Assignment) []pimento.Process {
+	var out []pimento.Process
+	for _, m := range a.Members {
+		if !m.Idle {
+			out = append(out, m.Process)
+		}
+	}
+	return out
+}
--- a/relayctl/main.go
+++ b/relayctl/main.go
@@ -66,7 +66,7 @@
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &usageError{cause: err} })
 	f := root.PersistentFlags()
-	f.StringVar(&c.platformURL, "platform", "http://127.0.0.1:8400", "URL of the platform's object API")
+	f.StringVar(&c.platform, "platform", "127.0.0.1:8400", "IP address and TCP port of the platform's store")
 	f.StringVar(&c.output, "output", outputText, "text or json")
 	root.AddCommand(newCheckCommand(c), newDiffCommand(c), newApplyCommand(c), newStatusCommand(c), newTimelineCommand(c))
 	return root
--- a/relayctl/status.go
+++ b/relayctl/status.go
@@ -21,6 +21,7 @@
 // overview is the state of the whole system.
 type overview struct {
 	Epoch         uint64
+	Leader        pimento.ProcessID
 	ConfigVersion uint64
 	Out           []string
 	Processes     []processStatus
@@ -30,14 +31,16 @@
 // processStatus is one process, or why it gave no answer.
 type processStatus struct {
 	pimento.Status
+	Idle  bool // the leader does not count on it
 	Fault string
 }
 
-// upstreamStatus is one upstream with its dispatcher and slices.
+// upstreamStatus is one upstream with its dispatcher and keys.
 type upstreamStatus struct {
 	pimento.UpstreamReport
+	Seen       bool // its dispatcher knows it
 	Dispatcher pimento.ProcessID
-	Slices     int
+	Keys       int
 }
 
 func newStatusCommand(c *client) *cobra.Command {
@@ -47,50 +50,57 @@
 		Long:  statusHelp,
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			plan, err := c.processes(cmd.Context())
+			ctx := cmd.Context()
+			a, err := c.assignment(ctx)
 			if err != nil {
 				return err
 			}
-			states, errs := fromAll[pimento.Status](cmd.Context(), c, plan.Processes, "/status")
-			o := newOverview(&plan, states, errs)
+			config, version, err := c.current(ctx)
+			if err != nil {
+				return err
+			}
+			list := make([]pimento.Process, len(a.Members))
+			for i, m := range a.Members {
+				list[i] = m.Process
+			}
+			states, errs := fromAll[pimento.Status](ctx, c, list, "/status")
+			o := newOverview(&a, &config, states, errs)
+			o.ConfigVersion = version
 			return c.print(o, o.write)
 		},
 	}
 }
 
-func newOverview(plan *pimento.Plan, states []pimento.Status, errs []error) *overview {
-	o := &overview{Epoch: plan.Epoch, ConfigVersion: plan.ConfigVersion, Out: outOfService(plan)}
+func newOverview(a *pimento.Assignment, config *pimento.Config, states []pimento.Status, errs []error) *overview {
+	o := &overview{Epoch: a.Term.Epoch, Leader: a.Term.Leader, Out: outOfService(config)}
 	seen := make(map[pimento.UpstreamName]upstreamStatus)
 	for i, s := range states {
-		p := processStatus{Status: s}
+		p := processStatus{Status: s, Idle: a.Members[i].Idle}
 		if errs[i] != nil {
-			p.Process, p.Fault = plan.Processes[i], errs[i].Error()
+			p.Process, p.Fault = a.Members[i].Process, errs[i].Error()
 		}
 		o.Processes = append(o.Processes, p)
-		for _, u := range s.Upstreams {
-			seen[u.Upstream] = upstreamStatus{UpstreamReport: u, Dispatcher: s.Process.ID}
+		for _, u := range s.Dispatches {
+			seen[u.Upstream] = upstreamStatus{UpstreamReport: u, Seen: true, Dispatcher: s.Process.ID}
 		}
 	}
-	owned := ownedSlices(plan)
-	for _, s := range plan.Config.Servers {
-		u, ok := seen[s.Name]
-		if !ok {
-			u.Upstream, u.Condition = s.Name, "NotSeen"
-		}
-		u.Slices = owned[s.Name]
+	keys := keysHeld(a)
+	for _, s := range config.Servers {
+		u := seen[s.Name]
+		u.Upstream, u.Service, u.Keys = s.Name, s.Service, keys[s.Name]
 		o.Upstreams = append(o.Upstreams, u)
 	}
 	return o
 }
 
-func outOfService(plan *pimento.Plan) []string {
+func outOfService(config *pimento.Config) []string {
 	var out []string
-	for _, d := range plan.Config.Domains {
+	for _, d := range config.Domains {
 		if d.State == pimento.StateOut {
 			out = append(out, "failure domain "+string(d.Name))
 		}
 	}
-	for _, h := range plan.Config.Hosts {
+	for _, h := range config.Hosts {
 		if h.State == pimento.StateLeaving {
 			out = append(out, "host "+string(h.Name))
 		}
@@ -98,31 +108,46 @@
 	return out
 }
 
-func ownedSlices(plan *pimento.Plan) map[pimento.UpstreamName]int {
+// keysHeld returns how many keys each upstream holds or is to hold.
+func keysHeld(a *pimento.Assignment) map[pimento.UpstreamName]int {
 	out := make(map[pimento.UpstreamName]int)
-	for _, t := range plan.Services {
-		for _, s := range t.Slices {
-			if len(s.Owners) > 0 {
-				out[s.Owners[0]]++
-			}
+	for _, t := range a.Tables {
+		for _, h := range t.Holdings {
+			out[h.Holder.Upstream] += h.Len()
 		}
 	}
 	return out
 }
 
 func (o *overview) write(w io.Writer) {
-	fmt.Fprintf(w, "plan %d, configuration version %d\n", o.Epoch, o.ConfigVersion)
+	fmt.Fprintf(w, "epoch %d, led by %s, configuration version %d\n", o.Epoch, o.Leader, o.ConfigVersion)
 	for _, name := range o.Out {
 		fmt.Fprintf(w, "out of service: %s\n", name)
 	}
 	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
-	fmt.Fprintln(t, "\nPROCESS\tDOMAIN\tPLAN\tCONFIGURATION\tCONFIRMED\tWAITING\tFAULT")
+	fmt.Fprintln(t, "\nPROCESS\tDOMAIN\tCONFIGURATION\tLED\tREADY\tACTIVE\tWAITING\tRECORDS\tFAULT")
 	for _, p := range o.Processes {
-		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%t\t%d\t%s\n", p.Process.ID, p.Process.Domain, p.Epoch, p.ConfigVersion, p.Confirmed, p.Waiting, p.Fault)
+		fmt.Fprintf(t, "%s\t%s\t%d\t%t\t%t\t%d\t%d\t%d\t%s\n", p.Process.ID, p.Process.Domain, p.ManifestVersion,
+			p.Led, p.Ready, p.Active, p.Waiting, p.Records, p.Fault)
 	}
-	fmt.Fprintln(t, "\nUPSTREAM\tCONDITION\tSLICES\tIN FLIGHT\tLIMIT\tQUEUED\tREQUESTS/S\tDISPATCHER")
+	fmt.Fprintln(t, "\nUPSTREAM\tCONDITION\tKEYS\tRUNNING\tSLOTS\tBEARS/S\tSLOW\tFAILING\tDISPATCHER")
 	for _, u := range o.Upstreams {
-		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%.1f\t%s\n", u.Upstream, u.Condition, u.Slices, u.InFlight, u.Limit, u.Queued, u.Rate, u.Dispatcher)
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%.1f\t%.1f\t%.2f\t%s\n", u.Upstream, u.condition(), u.Keys, u.Running, u.Slots,
+			u.Bears, u.Slow, u.Failing, u.Dispatcher)
 	}
 	t.Flush()
 }
+
+// condition says in a word how an upstream is.
+func (u upstreamStatus) condition() string {
+	switch {
+	case !u.Seen:
+		return "NotSeen"
+	case !u.Usable:
+		return "NoNewWork"
+	case u.Cold:
+		return "Cold"
+	default:
+		return "Usable"
+	}
+}
--- a/relayctl/timeline.go
+++ b/relayctl/timeline.go
@@ -32,16 +32,10 @@
 		Long:  timelineHelp,
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			plan, err := c.processes(cmd.Context())
+			lists, err := c.events(cmd)
 			if err != nil {
 				return err
 			}
-			lists, errs := fromAll[[]pimento.Event](cmd.Context(), c, plan.Processes, "/timeline")
-			for i, err := range errs {
-				if err != nil {
-					fmt.Fprintf(cmd.ErrOrStderr(), "process %s gave no events: %v\n", plan.Processes[i].ID, err)
-				}
-			}
 			events := merge(lists, time.Now().Add(-since), numbers)
 			if html {
 				return writeHTML(c.out, events)
@@ -56,6 +50,21 @@
 	return cmd
 }
 
+// events returns the latest events of every process that answers.
+func (c *client) events(cmd *cobra.Command) ([][]pimento.Event, error) {
+	processes, err := c.processes(cmd.Context())
+	if err != nil {
+		return nil, err
+	}
+	lists, errs := fromAll[[]pimento.Event](cmd.Context(), c, processes, "/timeline")
+	for i, err := range errs {
+		if err != nil {
+			fmt.Fprintf(cmd.ErrOrStderr(), "process %s gave no events: %v\n", processes[i].ID, err)
+		}
+	}
+	return lists, nil
+}
+
 // merge puts the events of all processes in one order.
 func merge(lists [][]pimento.Event, since time.Time, numbers []int) []pimento.Event {
 	out := []pimento.Event{}
--- a/request.go
+++ b/request.go
@@ -1,11 +1,6 @@
 package pimento
 
-import (
-	"bytes"
-	"io"
-	"net/http"
-	"time"
-)
+import "net/http"
 
 // Outcome is how a request ended, as its caller is told.
 type Outcome string
@@ -51,32 +46,6 @@
 	ReasonRetryBudget    Reason = "RetryBudget"
 )
 
-// Class orders requests that wait for the same upstream.
-type Class string
-
-// The classes, the more urgent first.
-const (
-	ClassInteractive Class = "Interactive"
-	ClassUpload      Class = "Upload"
-)
-
-// RequestHead is everything of a request but its body.
-type RequestHead struct {
-	ID         string
-	Category   CategoryName
-	Service    ServiceName
-	Upstream   UpstreamName // set where any upstream of the service will do
-	KeyHash    uint64
-	Idempotent bool
-	CallerID   bool // the ID came from the caller, so a duplicate can follow
-	Class      Class
-	Method     string
-	Path       string
-	Header     http.Header
-	BodyLength int64     // bytes, -1 if not known beforehand
-	Deadline   time.Time `cbor:"-"` // sent as remaining time
-}
-
 // AnswerHead is everything of an answer but its body.
 type AnswerHead struct {
 	ID         string
@@ -85,21 +54,6 @@
 	BodyLength int64 // bytes, -1 if not known beforehand
 }
 
-// Body is the body of a request. Inline is the whole of a short one; a longer
-// one is read from Stream, only after the request was admitted.
-type Body struct {
-	Inline []byte
-	Stream io.Reader
-}
-
-// Reader returns the body from its beginning. A stream can be read once.
-func (b Body) Reader() io.Reader {
-	if b.Stream != nil {
-		return b.Stream
-	}
-	return bytes.NewReader(b.Inline)
-}
-
 // IsIdempotent reports whether a method may be run again without harm (RFC
 // 9110, section 9.2.2).
 func IsIdempotent(method string) bool {
--- a/route.go
+++ b/route.go
@@ -21,6 +21,9 @@
 	RouteOnce RouteKind = "Once"
 	// RouteUpload requests run at most once and have large bodies.
 	RouteUpload RouteKind = "Upload"
+	// RouteByMethod requests run at most once unless their method is
+	// idempotent (RFC 9110, section 9.2.2).
+	RouteByMethod RouteKind = "ByMethod"
 )
 
 // Target is a service with its share of a route's requests.
@@ -40,10 +43,13 @@
 	Timeout     time.Duration // longest time that a caller is kept waiting
 	Goal        time.Duration // time within which an answer has its full worth
 	Priority    int           // the lower the more urgent
+	Strip       bool          // the prefix is not passed on
 }
 
-// Idempotent reports whether requests of the route may run more than once.
-func (r *Route) Idempotent() bool { return r.Kind == RouteIdempotent }
+// Idempotent reports whether a request of the route may run more than once.
+func (r *Route) Idempotent(method string) bool {
+	return r.Kind == RouteIdempotent || r.Kind == RouteByMethod && IsIdempotent(method)
+}
 
 // RouteTable finds the route of a request. It does not change once built.
 type RouteTable struct {
--- a/router/follower.go
+++ b/router/follower.go
@@ -13,7 +13,6 @@
 	"pimentorelay.example/pimento/admitter"
 	"pimentorelay.example/pimento/forwarder"
 	"pimentorelay.example/pimento/messenger"
-	"pimentorelay.example/pimento/platform"
 	"pimentorelay.example/pimento/scheduler"
 	"pimentorelay.example/pimento/timekeeper"
 )
@@ -111,6 +110,25 @@
 		f.takeManifest(s.Manifest)
 	}
 	f.router.admitter.Learn(board)
+	if s.Roster != nil {
+		f.router.registrar.Learn(board.Pools, board.Processes)
+	}
+}
+
+// unheld returns how many keys have no ready holder, as far as this process
+// knows.
+func (f *follower) unheld() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, list := range f.owners {
+		for _, o := range list {
+			if !o.Ready {
+				n += o.Len()
+			}
+		}
+	}
+	return n
 }
 
 // takeUpstreams takes over what is new of the upstreams. The caller holds mu.
@@ -227,9 +245,12 @@
 
 // awaitManifest waits for a manifest after a revision and takes it over.
 func (f *follower) awaitManifest(ctx context.Context, after uint64) (uint64, error) {
-	value, revision, err := f.router.registry.Manifest(ctx, after, manifestWait)
-	if err != nil || value == nil {
-		return revision, err
+	value, revision, err := f.router.Source.Manifest(ctx, after, manifestWait)
+	if err != nil {
+		return 0, err // it is read anew
+	}
+	if value == nil {
+		return revision, nil
 	}
 	f.takeManifest(value)
 	return revision, nil
@@ -238,7 +259,7 @@
 // takeManifest takes over a manifest as it stands in the store, unless it is
 // older than the one in force.
 func (f *follower) takeManifest(value []byte) {
-	m, err := platform.DecodeManifest(value)
+	m, err := f.router.Source.DecodeManifest(value)
 	if err != nil {
 		f.router.events.Emit(pimento.EventConfigInvalid, "Name", "manifest", "Cause", err)
 		return
@@ -281,11 +302,11 @@
 // readState reads upstreams and failure domains from the store. What a leader
 // said of keys stays: an upstream refuses what it does not hold.
 func (f *follower) readState(ctx context.Context) {
-	servers, err := f.router.registry.Upstreams(ctx)
+	servers, err := f.router.Source.Upstreams(ctx)
 	if err != nil {
 		return // the next try comes soon
 	}
-	out, _, _, err := f.router.registry.Out(ctx, 0, 0)
+	out, _, _, err := f.router.Source.Out(ctx, 0, 0)
 	if err != nil {
 		return
 	}
--- a/router/handler.go
+++ b/router/handler.go
@@ -22,6 +22,12 @@
 		h.leader.HandleVote(m.Vote, reply)
 	case m.State != nil && reply != nil:
 		h.leader.HandleState(from.Peer.ID, m.State, reply)
+	case m.Enter != nil && reply != nil:
+		h.registrar.HandleEnter(m.Enter, reply)
+	case m.Finish != nil && reply != nil:
+		h.registrar.HandleFinish(m.Finish, reply)
+	case m.Copy != nil && reply != nil:
+		h.registrar.HandleCopy(m.Copy, reply)
 	case m.Join != nil:
 		h.leader.HandleJoin(m.Join.Process)
 	}
@@ -31,4 +37,7 @@
 func (h *handler) Canceled(from *messenger.Link, call uint64) { h.admitter.HandleCanceled(from, call) }
 
 // Closed implements messenger.Handler.
-func (h *handler) Closed(from *messenger.Link) { h.admitter.HandleClosed(from) }
+func (h *handler) Closed(from *messenger.Link) {
+	h.admitter.HandleClosed(from)
+	h.registrar.HandleClosed(from.Peer.ID)
+}
--- /dev/null
+++ b/router/operate.go
@@ -0,0 +1,56 @@
+package router
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"pimentorelay.example/pimento"
+)
+
+// serveOperators shows health, metrics, status and time line until ctx ends.
+func (r *Router) serveOperators(ctx context.Context, l net.Listener) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", r.readyz)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		r.metrics.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	mux.HandleFunc("GET /status", r.guard(func() any { return r.Status() }))
+	mux.HandleFunc("GET /timeline", r.guard(func() any { return r.events.Events() }))
+	return serveHTTP(ctx, l, mux)
+}
+
+// guard asks for the operators' token and writes a value as JSON.
+func (r *Router) guard(value func() any) http.HandlerFunc {
+	return func(w http.ResponseWriter, req *http.Request) {
+		token := strings.TrimPrefix(req.Header.Get("Authorization"), "Bearer ")
+		if r.Token != "" && subtle.ConstantTimeCompare([]byte(token), []byte(r.Token)) != 1 {
+			http.Error(w, "the operators' token is missing or wrong", http.StatusUnauthorized)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(value()); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// Status returns what this process knows, for operators.
+func (r *Router) Status() pimento.Status {
+	term := r.leader.Term()
+	versions := r.follower.Versions()
+	return pimento.Status{
+		Process: r.self, Epoch: term.Epoch, Leader: term.Leader,
+		Leads: r.leader.Leads(), Led: r.leader.HasAuthority() || r.leader.IsLed() && !r.leader.Leads(),
+		Ready: r.isReady(), Leaving: r.leaving.Load(), ManifestVersion: versions.Manifest,
+		Active: r.acceptor.Active(), Waiting: r.admitter.Waiting(), Records: r.registrar.Len(),
+		Unheld: r.follower.unheld(), Dispatches: r.admitter.Upstreams(),
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -1,5 +1,4 @@
-// Package router is one process of pimentorelay on the platform. It puts the
-// parts together as a supervisor tree, one goroutine a duty:
+// Package router is one process of pimentorelay. It puts the parts together as a supervisor tree, one goroutine a duty:
 //
 //	acceptor -> forwarder -> admitter -> connector -> upstream
 //	                            |  ^
@@ -9,7 +8,7 @@
 //
 // # Usage
 //
-//	r := &router.Router{Settings: s, Log: logger}
+//	r := &router.Router{Host: host, Peer: address, Store: store, Source: source, ...}
 //	err := r.Run(ctx)
 package router
 
@@ -36,48 +35,69 @@
 	"pimentorelay.example/pimento/keeper"
 	"pimentorelay.example/pimento/leader"
 	"pimentorelay.example/pimento/messenger"
-	"pimentorelay.example/pimento/platform"
 	"pimentorelay.example/pimento/recorder"
+	"pimentorelay.example/pimento/registrar"
 )
 
 // Router is one process. Set the exported fields before Run.
 type Router struct {
-	Settings platform.Settings
-	Log      hclog.Logger
-	Metrics  netip.AddrPort // where metrics are served; zero: nowhere
+	Host   pimento.HostName
+	Domain pimento.DomainName
+
+	Peer     netip.AddrPort // for other processes
+	Caller   netip.AddrPort // for callers
+	Ready    netip.AddrPort // for the balancer's question; zero: nowhere
+	Operator netip.AddrPort // for status, time line and metrics; zero: nowhere
+	// ReadyPath is where the balancer asks whether callers may come.
+	ReadyPath string
+	// Token is what operators show for status and time line; empty: nothing.
+	Token string
+
+	Store        pimento.Store
+	Source       pimento.Source
+	CallerWire   pimento.CallerWire
+	UpstreamWire pimento.UpstreamWire
+	Bounds       pimento.Bounds
+	// NeedKey refuses requests without a key for services divided by key.
+	NeedKey bool
+	Log     hclog.Logger
+	// Started is told when the process is registered; it may be nil.
+	Started func(pimento.Process)
 
 	self      pimento.Process
 	events    *recorder.Recorder
 	metrics   *metrics.Set
-	store     *platform.Store
-	registry  *platform.Registry
 	acceptor  *acceptor.Acceptor
 	admitter  *admitter.Admitter
 	messenger *messenger.Messenger
+	registrar *registrar.Registrar
 	leader    *leader.Leader
 	follower  *follower
 	leaving   atomic.Bool
+	killed    chan struct{}
 }
 
 // Run serves until ctx ends, and then finishes what is under way.
 func (r *Router) Run(ctx context.Context) error {
-	r.assemble()
-	r.events.Emit(pimento.EventProcessStarted, "Host", r.self.Host, "Domain", r.self.Domain, "Peer", r.self.Peer)
-	listeners, err := r.listen()
+	r.killed = make(chan struct{})
+	l, err := r.listen()
 	if err != nil {
 		return fmt.Errorf("Router.Run: %w", err)
 	}
+	r.assemble()
+	r.events.Emit(pimento.EventProcessStarted, "Host", r.self.Host, "Domain", r.self.Domain, "Peer", r.self.Peer)
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	tree := r.tree(listeners)
-	ended := tree.ServeBackground(running)
+	ended := r.tree(l).ServeBackground(running)
 	select {
 	case <-ctx.Done():
+		r.shutDown()
+	case <-r.killed:
 	case err := <-ended:
 		return fmt.Errorf("Router.Run: %w", err)
 	}
-	r.shutDown()
 	stop()
+	r.acceptor.Abort()
 	if err := <-ended; err != nil && !errors.Is(err, context.Canceled) {
 		return fmt.Errorf("Router.Run: %w", err)
 	}
@@ -85,57 +105,67 @@
 	return nil
 }
 
+// Kill ends the process as a crash would, without a word to anybody. It is for
+// tests.
+func (r *Router) Kill() { close(r.killed) }
+
+// Process returns the process as it is registered.
+func (r *Router) Process() pimento.Process { return r.self }
+
 // assemble makes the parts.
 func (r *Router) assemble() {
-	s := r.Settings
-	r.self = pimento.Process{
-		ID: pimento.ProcessID(string(s.Host) + "-" + strconv.FormatUint(rand.Uint64(), 36)), Host: s.Host, Domain: s.Domain,
-		Peer: netip.AddrPortFrom(s.IP, s.FirstPort), Caller: s.Caller, Started: time.Now().Round(0),
-		Token: strconv.FormatUint(rand.Uint64(), 36) + strconv.FormatUint(rand.Uint64(), 36),
-	}
 	r.events = &recorder.Recorder{Process: r.self.ID, Log: r.Log}
 	r.metrics = metrics.NewSet()
-	r.store = &platform.Store{Address: s.Store, HTTP: platform.NewHTTP()}
-	r.registry = &platform.Registry{Store: r.store, OnFault: func(name string, err error) {
-		r.events.Emit(pimento.EventConfigInvalid, "Name", name, "Cause", err)
-	}}
 	r.messenger = &messenger.Messenger{Self: r.self, Handler: (*handler)(r)}
-	r.admitter = &admitter.Admitter{Self: r.self, Peers: r.messenger, Wire: platform.Wire{}, Bounds: admitter.Bounds{
-		RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack, RetryWindow: s.Bounds.RetryWindow,
+	r.admitter = &admitter.Admitter{Self: r.self, Peers: r.messenger, Wire: r.UpstreamWire, Bounds: admitter.Bounds{
+		RetryRatio: r.Bounds.RetryRatio, RetrySlack: r.Bounds.RetrySlack, RetryWindow: r.Bounds.RetryWindow,
 	}}
+	r.registrar = &registrar.Registrar{Self: r.self, Peers: r.messenger, Events: r.events}
 	r.follower = &follower{router: r}
 	r.leader = &leader.Leader{
-		Self: r.self, Store: r.store, Registry: r.registry, Peers: r.messenger, Member: r.follower, Events: r.events,
-		Timing: elector.DefaultTiming(), Keys: keeper.DefaultTiming(s.Bounds.MaxHold), Grantor: r.admitter,
+		Self: r.self, Store: r.Store, Source: r.Source, Peers: r.messenger, Member: r.follower, Events: r.events,
+		Timing: elector.DefaultTiming(), Keys: keeper.DefaultTiming(r.Bounds.MaxHold), Grantor: r.admitter,
 	}
 	r.leader.Init()
 	r.acceptor = &acceptor.Acceptor{
-		Handler: &forwarder.Forwarder{View: r.follower.view.Load, Dispatch: r.admitter},
-		Wire:    platform.Wire{}, Limits: r.follower.limits,
+		Handler: &forwarder.Forwarder{View: r.follower.view.Load, Dispatch: r.admitter, Records: r.registrar, NeedKey: r.NeedKey},
+		Wire:    r.CallerWire, Limits: r.follower.limits,
 	}
 }
 
 // listeners are the sockets of a process.
 type listeners struct {
-	peers   net.Listener
-	callers net.Listener
-	ready   net.Listener
-	metrics net.Listener // nil: none
+	peers     net.Listener
+	callers   net.Listener
+	ready     net.Listener // nil: none
+	operators net.Listener // nil: none
 }
 
+// listen opens the sockets and describes the process by their addresses.
 func (r *Router) listen() (listeners, error) {
 	var l listeners
-	var err error
+	r.self = pimento.Process{
+		ID:   pimento.ProcessID(string(r.Host) + "-" + strconv.FormatUint(rand.Uint64(), 36)),
+		Host: r.Host, Domain: r.Domain, Started: time.Now().Round(0),
+		Token: strconv.FormatUint(rand.Uint64(), 36) + strconv.FormatUint(rand.Uint64(), 36),
+	}
+	var ready netip.AddrPort
 	for _, x := range []struct {
 		to      *net.Listener
 		address netip.AddrPort
-	}{{&l.peers, r.self.Peer}, {&l.callers, r.Settings.Caller}, {&l.ready, r.Settings.Ready}, {&l.metrics, r.Metrics}} {
+		open    *netip.AddrPort
+	}{
+		{&l.peers, r.Peer, &r.self.Peer}, {&l.callers, r.Caller, &r.self.Caller},
+		{&l.ready, r.Ready, &ready}, {&l.operators, r.Operator, &r.self.Operator},
+	} {
 		if !x.address.IsValid() {
 			continue
 		}
-		if *x.to, err = net.Listen("tcp", x.address.String()); err != nil {
+		open, err := net.Listen("tcp", x.address.String())
+		if err != nil {
 			return l, err
 		}
+		*x.to, *x.open = open, open.Addr().(*net.TCPAddr).AddrPort()
 	}
 	return l, nil
 }
@@ -152,6 +182,7 @@
 // String names the duty in logs.
 func (d duty) String() string { return d.name }
 
+// tree is the supervisor tree: a duty that fails is started again.
 func (r *Router) tree(l listeners) *suture.Supervisor {
 	tree := suture.New("router", suture.Spec{EventHook: func(e suture.Event) {
 		r.events.Emit(pimento.EventDutyFailed, "Duty", e.String())
@@ -160,16 +191,19 @@
 		{"messages", func(ctx context.Context) error { return r.messenger.Run(ctx, l.peers) }},
 		{"permits", r.admitter.Run},
 		{"leader", r.leader.Run},
+		{"records", r.registrar.Run},
 		{"registration", r.register},
 		{"manifest", r.follower.followManifest},
 		{"state", r.follower.followState},
-		{"ready", func(ctx context.Context) error { return r.serveReady(ctx, l.ready) }},
 		{"callers", func(ctx context.Context) error { return r.acceptor.Serve(ctx, l.callers) }},
 	} {
 		tree.Add(d)
 	}
-	if l.metrics != nil {
-		tree.Add(duty{"metrics", func(ctx context.Context) error { return r.serveMetrics(ctx, l.metrics) }})
+	if l.ready != nil {
+		tree.Add(duty{"ready", func(ctx context.Context) error { return r.serveReady(ctx, l.ready) }})
+	}
+	if l.operators != nil {
+		tree.Add(duty{"operators", func(ctx context.Context) error { return r.serveOperators(ctx, l.operators) }})
 	}
 	return tree
 }
--- a/router/serve.go
+++ b/router/serve.go
@@ -8,11 +8,8 @@
 	"net/http"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"pimentorelay.example/pimento"
 	"pimentorelay.example/pimento/leader"
-	"pimentorelay.example/pimento/platform"
 )
 
 const (
@@ -41,6 +38,9 @@
 		if r.tryRegister(ctx, e) {
 			r.leader.StoreAnswered()
 			r.events.Emit(pimento.EventRegistered, "Process", r.self.ID)
+			if r.Started != nil {
+				r.Started(r.self)
+			}
 			<-ctx.Done()
 			return ctx.Err()
 		}
@@ -51,7 +51,7 @@
 
 // tryRegister makes one try and reports whether the entry stands.
 func (r *Router) tryRegister(ctx context.Context, e pimento.Entry) bool {
-	_, err := r.store.Create(ctx, e)
+	_, err := r.Store.Create(ctx, e)
 	var exists *pimento.ExistsError
 	if err == nil {
 		return true
@@ -66,7 +66,7 @@
 		}
 	}
 	e.Revision = exists.Current.Revision
-	_, err = r.store.Replace(ctx, e)
+	_, err = r.Store.Replace(ctx, e)
 	return err == nil
 }
 
@@ -81,25 +81,17 @@
 	return f.versions.Upstreams > 0 || f.alone
 }
 
-// serveReady answers the platform's question whether callers may come.
+// serveReady answers the balancer's question whether callers may come.
 func (r *Router) serveReady(ctx context.Context, l net.Listener) error {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
-		if !r.isReady() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
+	mux.HandleFunc("GET "+r.ReadyPath, r.readyz)
 	return serveHTTP(ctx, l, mux)
 }
 
-// serveMetrics shows counters and histograms.
-func (r *Router) serveMetrics(ctx context.Context, l net.Listener) error {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		r.metrics.WritePrometheus(w)
-		metrics.WriteProcessMetrics(w)
-	})
-	return serveHTTP(ctx, l, mux)
+func (r *Router) readyz(w http.ResponseWriter, _ *http.Request) {
+	if !r.isReady() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+	}
 }
 
 func serveHTTP(ctx context.Context, l net.Listener, h http.Handler) error {
@@ -121,9 +113,9 @@
 	r.leader.Leave()
 	r.acceptor.Drain()
 	begun := time.Now()
-	time.Sleep(min(leavePause, r.Settings.Bounds.Shutdown/3))
+	time.Sleep(min(leavePause, r.Bounds.Shutdown/3))
 	r.acceptor.Refuse()
-	end := begun.Add(r.Settings.Bounds.Shutdown - endMargin)
+	end := begun.Add(r.Bounds.Shutdown - endMargin)
 	quietAt := time.Now()
 	for now := time.Now(); now.Before(end) && now.Sub(quietAt) < lastPause; now = time.Now() {
 		if r.acceptor.Active() > 0 {
--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -181,3 +181,16 @@
 	}
 	return out
 }
+
+// Reports describes the upstreams, for operators.
+func (p *Pool) Reports(now time.Time) []pimento.UpstreamReport {
+	var out []pimento.UpstreamReport
+	for _, u := range p.upstreams {
+		out = append(out, pimento.UpstreamReport{
+			Upstream: u.Name, Service: u.Service, Usable: u.Usable, Cold: now.Before(u.cold.until),
+			Slow: u.speed.value(), Failing: u.health.failures, Running: len(u.running), Slots: u.Slots,
+			Bears: p.throughput(now, &Ticket{}, u),
+		})
+	}
+	return out
+}
--- a/sender/stream.go
+++ b/sender/stream.go
@@ -23,6 +23,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -55,10 +56,11 @@
 
 // RefusedError is an outcome other than Answered, as the caller was told.
 type RefusedError struct {
-	Status  int
-	Outcome pimento.Outcome
-	Reason  pimento.Reason
-	Text    string
+	Status     int
+	Outcome    pimento.Outcome
+	Reason     pimento.Reason
+	RetryAfter time.Duration // zero: not told
+	Text       string
 }
 
 // Error returns the text of the refusal.
@@ -78,13 +80,30 @@
 
 var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 
-// Send sends a request and returns the stand-in's answer. The error is a
-// *RefusedError, *CutError or *WrongError.
+// Send sends a request and returns the stand-in's answer. A request that was
+// refused as not run is sent again when its caller is told to come back, as
+// long as there is time. The error is a *RefusedError, *CutError or *WrongError.
 func Send(ctx context.Context, r Request) (upstreamfaker.Answer, error) {
-	var answer upstreamfaker.Answer
 	if r.Timeout == 0 {
 		r.Timeout = defaultTimeout
 	}
+	end := time.Now().Add(r.Timeout)
+	for {
+		answer, err := sendOnce(ctx, r)
+		var refused *RefusedError
+		if !errors.As(err, &refused) || refused.Outcome != pimento.OutcomeNotRun || refused.RetryAfter == 0 {
+			return answer, err
+		}
+		if r.Timeout = time.Until(end) - refused.RetryAfter; r.Timeout <= 0 {
+			return answer, err
+		}
+		time.Sleep(refused.RetryAfter)
+	}
+}
+
+// sendOnce sends a request once.
+func sendOnce(ctx context.Context, r Request) (upstreamfaker.Answer, error) {
+	var answer upstreamfaker.Answer
 	ctx, cancel := context.WithTimeout(ctx, r.Timeout+grace)
 	defer cancel()
 	res, text, err := exchange(ctx, r)
@@ -94,7 +113,8 @@
 	if res.StatusCode != http.StatusOK {
 		return answer, &RefusedError{
 			Status: res.StatusCode, Outcome: pimento.Outcome(res.Header.Get(pimento.HeaderOutcome)),
-			Reason: pimento.Reason(res.Header.Get(pimento.HeaderReason)), Text: string(bytes.TrimSpace(text)),
+			Reason: pimento.Reason(res.Header.Get(pimento.HeaderReason)), RetryAfter: retryAfter(res),
+			Text: string(bytes.TrimSpace(text)),
 		}
 	}
 	if err := json.Unmarshal(text, &answer); err != nil {
@@ -103,6 +123,15 @@
 	return answer, check(r, res, answer)
 }
 
+// retryAfter returns when a refused caller should come back.
+func retryAfter(res *http.Response) time.Duration {
+	s, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(s * float64(time.Second))
+}
+
 // exchange sends a request and reads the answer whole.
 func exchange(ctx context.Context, r Request) (*http.Response, []byte, error) {
 	req, err := http.NewRequestWithContext(ctx, r.Method, r.URL, io.NopCloser(bytes.NewReader(r.Body)))
@@ -133,7 +162,7 @@
 		return &WrongError{Detail: "it carries the ID " + answer.ID}
 	case answer.Digest != hex.EncodeToString(sum[:]):
 		return &WrongError{Detail: "the upstream got another body"}
-	case r.Key != "" && answer.KeyHash != pimento.HashKey(r.Key):
+	case r.Key != "" && answer.Key != pimento.KeyOf(r.Key):
 		return &WrongError{Detail: "it is of another key"}
 	}
 	return nil
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -11,7 +11,7 @@
 
 	"github.com/spf13/cobra"
 
-	"pimentorelay.example/pimento/platformfaker"
+	"pimentorelay.example/pimento/storefaker"
 )
 
 const headerTimeout = 5 * time.Second
@@ -23,11 +23,11 @@
   standin platform --address 127.0.0.1:8400
 
   # Let the platform be down, and up again:
-  curl -X PUT http://127.0.0.1:8400/faults -d '{"Down": true}'
-  curl -X PUT http://127.0.0.1:8400/faults -d '{}'
+  curl -X PUT http://127.0.0.1:8400/stand-in/faults -d '{"Outage": "Reset"}'
+  curl -X PUT http://127.0.0.1:8400/stand-in/faults -d '{}'
 
   # Let the next write stand without an answer:
-  curl -X PUT http://127.0.0.1:8400/faults -d '{"LoseAnswers": 1}'`
+  curl -X PUT http://127.0.0.1:8400/stand-in/faults -d '{"LoseAnswers": 1}'`
 
 func newPlatformCommand() *cobra.Command {
 	var address string
@@ -43,7 +43,7 @@
 			}
 			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
-			server := &http.Server{Addr: a.String(), Handler: (&platformfaker.Server{}).Handler(), ReadHeaderTimeout: headerTimeout}
+			server := &http.Server{Addr: a.String(), Handler: storefaker.New(), ReadHeaderTimeout: headerTimeout}
 			go func() {
 				<-ctx.Done()
 				server.Close()
--- a/standin/upstreams.go
+++ b/standin/upstreams.go
@@ -25,12 +25,12 @@
   standin upstreams --sheet examples/ulaanbaatar.csv --only guidebook-3
 
   # Freeze an upstream, let it return, slow it ten times:
-  curl -X PUT http://127.0.0.1:21000/faults -d '{"Freeze": true}'
-  curl -X PUT http://127.0.0.1:21000/faults -d '{}'
-  curl -X PUT http://127.0.0.1:21000/faults -d '{"SlowBy": 10}'
+  curl -X PUT http://127.0.0.1:21000/stand-in/faults -d '{"Freeze": true}'
+  curl -X PUT http://127.0.0.1:21000/stand-in/faults -d '{}'
+  curl -X PUT http://127.0.0.1:21000/stand-in/faults -d '{"SlowBy": 10}'
 
   # What it has run:
-  curl http://127.0.0.1:21000/report`
+  curl http://127.0.0.1:21000/stand-in/report`
 
 func newUpstreamsCommand() *cobra.Command {
 	var sheet, only string
@@ -76,7 +76,7 @@
 			return fmt.Errorf("upstream %q: address %s is not on loopback", s.Name, s.Address)
 		}
 		service, _ := config.Service(s.Service)
-		faker := &upstreamfaker.Server{Name: s.Name, Slots: s.Slots, Work: work, Checked: service.Fencing == pimento.FencingChecked}
+		faker := &upstreamfaker.Server{Name: s.Name, Slots: s.Slots, Work: work, Keyed: service.Sharing == pimento.SharingKeyed}
 		faker.Start()
 		server := faker.HTTP()
 		server.Addr = s.Address.String()
--- a/storefaker/server.go
+++ b/storefaker/server.go
@@ -9,6 +9,9 @@
 //	go http.Serve(listener, s)
 //	s.Put("config", "main", manifest)
 //	s.Inject(storefaker.Faults{Outage: storefaker.OutageSilent})
+//
+// Faults can be switched on over HTTP too, by a PUT of [Faults] as JSON to
+// [FaultsPath].
 package storefaker
 
 import (
@@ -20,11 +23,15 @@
 	"strings"
 	"sync"
 	"time"
+
+	"pimentorelay.example/pimento"
 )
 
 const (
 	// prefix begins the path of every call.
 	prefix = "/pimentorelay/objects/"
+	// FaultsPath takes the faults to show.
+	FaultsPath = "/stand-in/faults"
 	// defaultPage is the most items of a page.
 	defaultPage = 500
 	// maxBody is the largest body in bytes.
@@ -48,19 +55,19 @@
 	Outage Outage
 	// Only limits the outage to callers for whom it returns true, by their
 	// address; nil: all.
-	Only func(remote string) bool
+	Only func(remote string) bool `json:"-"`
 	// Delay is added to each call but a watch.
-	Delay time.Duration
+	Delay pimento.Span
 	// LoseAnswers is how many writes take effect without an answer.
 	LoseAnswers int
 	// LateWrites is how many writes get no answer and take effect after
 	// LateAfter, if their condition still holds then.
 	LateWrites int
-	LateAfter  time.Duration
+	LateAfter  pimento.Span
 	// Deaf watches hear nothing.
 	Deaf bool
 	// Stale is how old reads are that allow it.
-	Stale time.Duration
+	Stale pimento.Span
 }
 
 // Meta is what the store says of an object.
@@ -201,6 +208,10 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == FaultsPath && r.Method == http.MethodPut {
+		s.setFaults(w, r)
+		return
+	}
 	path, ok := strings.CutPrefix(r.URL.Path, prefix)
 	if !ok {
 		http.NotFound(w, r)
@@ -225,7 +236,7 @@
 		return
 	}
 	if f.Delay > 0 && !watch {
-		time.Sleep(f.Delay)
+		time.Sleep(time.Duration(f.Delay))
 	}
 	switch {
 	case r.Method == http.MethodGet && watch:
@@ -280,7 +291,7 @@
 	s.mu.Lock()
 	objects, revision := s.objects[kind], s.revision
 	if r.URL.Query().Get("serializable") == "1" && f.Stale > 0 {
-		objects, revision = s.past(kind, time.Now().Add(-f.Stale))
+		objects, revision = s.past(kind, time.Now().Add(-time.Duration(f.Stale)))
 	}
 	names := make([]string, 0, len(objects))
 	for name := range objects {
@@ -388,7 +399,7 @@
 		s.mu.Lock()
 		s.faults.LateWrites--
 		s.mu.Unlock()
-		time.AfterFunc(f.LateAfter, func() { s.apply(r.Method, kind, name, in) })
+		time.AfterFunc(time.Duration(f.LateAfter), func() { s.apply(r.Method, kind, name, in) })
 		<-r.Context().Done()
 		return
 	}
@@ -434,3 +445,16 @@
 	}
 	return http.StatusOK, s.objects[kind][name]
 }
+
+// setFaults takes faults over HTTP.
+func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.Inject(f)
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/upstreamfaker/serve.go
+++ b/upstreamfaker/serve.go
@@ -18,8 +18,7 @@
 // work is one request on its way through the server.
 type work struct {
 	id         string
-	hash       uint64
-	fence      uint64
+	key        pimento.Key
 	idempotent bool
 	started    time.Time
 	digest     string
@@ -45,67 +44,74 @@
 		panic(http.ErrAbortHandler)
 	}
 	if !s.commit(job) {
-		refuse(w, http.StatusPreconditionFailed, "grant ended before the request took effect")
+		http.Error(w, "the hold of the key ended while the request ran", http.StatusInternalServerError)
 		return
 	}
 	s.respond(w, r, job)
 }
 
-// admit checks fence and key, and counts the request in. A cold server that
-// gets more than it bears falls over.
+// admit checks target, key and room, and counts the request in. A cold server
+// that gets more than it bears falls over.
 func (s *Server) admit(w http.ResponseWriter, r *http.Request) (*work, bool) {
-	hash, err := strconv.ParseUint(r.Header.Get(pimento.HeaderKeyHash), 16, 64)
-	if err != nil {
-		http.Error(w, "the key hash is not a hexadecimal number", http.StatusBadRequest)
-		return nil, false
-	}
-	fence, err := strconv.ParseUint(r.Header.Get(pimento.HeaderFence), 10, 64)
-	if err != nil {
-		http.Error(w, "the fence is not a number", http.StatusBadRequest)
+	d := s.Dialect
+	key, err := strconv.ParseUint(r.Header.Get(d.Key), 10, 16)
+	if err != nil && s.Keyed {
+		http.Error(w, "the key is not a number from 0 to 65535", http.StatusBadRequest)
 		return nil, false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if boot, ok := r.Context().Value(bootKey{}).(string); ok && boot != s.boot {
+	if boot, ok := r.Context().Value(bootKey{}).(time.Time); ok && !boot.Equal(s.started) {
 		panic(http.ErrAbortHandler)
 	}
-	if s.Checked && !s.allowed(fence, hash) {
+	target := r.Header.Get(d.Target)
+	if target != "" && target != string(s.Name) || s.Keyed && !s.keys.holds(pimento.Key(key), time.Now()) {
 		s.report.Rejected++
-		refuse(w, http.StatusPreconditionFailed, "no valid grant covers this request")
+		s.refuse(w, http.StatusMisdirectedRequest)
+		return nil, false
+	}
+	if s.inFlight >= s.Slots*(1+queueFactor) {
+		s.report.Full++
+		if s.faults.Hang {
+			s.mu.Unlock()
+			<-r.Context().Done()
+			s.mu.Lock()
+			return nil, false
+		}
+		s.refuse(w, http.StatusServiceUnavailable)
 		return nil, false
 	}
 	s.inFlight++
-	s.running[hash]++
+	s.running[pimento.Key(key)]++
 	s.report.PeakSlots = max(s.report.PeakSlots, s.inFlight)
-	s.sample()
 	slow := max(s.faults.SlowBy, 1)
 	job := &work{
-		id: r.Header.Get(pimento.HeaderRequestID), hash: hash, fence: fence,
+		id: r.Header.Get(d.ID), key: pimento.Key(key),
 		idempotent: pimento.IsIdempotent(r.Method), started: time.Now(), life: s.life, slots: s.slots,
 		duration: time.Duration(float64(s.Work) * slow),
 		crash:    s.faults.CrashOn != "" && strings.Contains(r.URL.Path, s.faults.CrashOn),
 	}
-	if s.inFlight > s.warmth && s.warmth < s.Slots {
+	if s.overrun() {
 		s.fall(&s.report.FellOver)
 	}
 	return job, true
 }
 
-// allowed reports whether the grant covers a request. The caller holds mu.
-func (s *Server) allowed(fence, hash uint64) bool {
-	return fence == s.grant.Fence && time.Since(s.started) < s.grant.ValidUntil && covers(s.grant.Ranges, hash)
-}
-
-// sample records the load for lagging reports. The caller holds mu.
-func (s *Server) sample() {
-	const maxSamples = 4096
-	s.loads = append(s.loads, loadSample{at: time.Now(), inFlight: s.inFlight})
-	if len(s.loads) > maxSamples {
-		s.loads = append([]loadSample(nil), s.loads[maxSamples/2:]...)
+// overrun counts an arrival and reports whether a cold server got more than it
+// bears in a second. The caller holds mu.
+func (s *Server) overrun() bool {
+	now := time.Now()
+	if !now.Before(s.coldTo) {
+		return false
 	}
+	s.arrivals = append(s.arrivals, now)
+	for now.Sub(s.arrivals[0]) > time.Second {
+		s.arrivals = s.arrivals[1:]
+	}
+	return len(s.arrivals) > coldRate
 }
 
-// leave counts a request out and warms the server.
+// leave counts a request out.
 func (s *Server) leave(job *work) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -113,13 +119,8 @@
 		return // the server has restarted since
 	}
 	s.inFlight--
-	if s.running[job.hash]--; s.running[job.hash] == 0 {
-		delete(s.running, job.hash)
-	}
-	s.sample()
-	s.done++
-	if s.done%runsPerWarmth == 0 && s.warmth < s.Slots {
-		s.warmth++
+	if s.running[job.key]--; s.running[job.key] == 0 {
+		delete(s.running, job.key)
 	}
 }
 
@@ -168,19 +169,19 @@
 	}
 }
 
-// commit makes the request take effect, if the grant still covers it.
+// commit makes the request take effect, if its key is still held.
 func (s *Server) commit(job *work) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if job.life != s.life || s.Checked && !s.allowed(job.fence, job.hash) {
+	if job.life != s.life {
+		panic(http.ErrAbortHandler)
+	}
+	if s.Keyed && !s.keys.mayEnd(job.key, time.Now()) {
 		s.report.Rejected++
 		return false
 	}
 	if len(s.journal) < maxJournal {
-		s.journal = append(s.journal, Run{
-			ID: job.id, KeyHash: job.hash, Fence: job.fence, Idempotent: job.idempotent,
-			Started: job.started, Ended: time.Now(),
-		})
+		s.journal = append(s.journal, Run{ID: job.id, Key: job.key, Idempotent: job.idempotent, Started: job.started, Ended: time.Now()})
 	}
 	return true
 }
@@ -191,7 +192,7 @@
 	s.fall(counter)
 }
 
-// fall ends the boot and starts a cold one. The caller holds mu.
+// fall ends the life and starts a cold one. The caller holds mu.
 func (s *Server) fall(counter *int) {
 	*counter++
 	s.restart()
@@ -202,12 +203,14 @@
 func (s *Server) respond(w http.ResponseWriter, r *http.Request, job *work) {
 	s.mu.Lock()
 	late := time.Duration(s.faults.Late)
-	cross, cut := s.faults.CrossNext > 0, s.faults.CutNext > 0
-	if cross {
-		s.faults.CrossNext--
-	} else if cut {
-		s.faults.CutNext--
+	cross, cut, extra := take(&s.faults.CrossNext), false, false
+	if !cross {
+		cut = take(&s.faults.CutNext)
+	}
+	if !cross && !cut {
+		extra = take(&s.faults.ExtraNext)
 	}
+	load := s.load()
 	s.mu.Unlock()
 	time.Sleep(late)
 	id := job.id
@@ -215,23 +218,52 @@
 		id = "another-" + id
 	}
 	body := s.body(r, job, id)
-	w.Header().Set(pimento.HeaderRequestID, id)
+	w.Header().Set(s.Dialect.ID, id)
+	w.Header().Set(s.Dialect.Load, loadText(load))
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	if cut && !cross {
+	if cut {
 		w.Write(body[:len(body)/2])
 		http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
+	if extra {
+		s.twice(w, body)
+		return
+	}
 	w.Write(body)
 }
 
+// take counts one down and reports whether there was one.
+func take(n *int) bool {
+	if *n <= 0 {
+		return false
+	}
+	*n--
+	return true
+}
+
+// twice writes an answer and the same again, and ends the connection.
+func (s *Server) twice(w http.ResponseWriter, body []byte) {
+	conn, buf, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	for range 2 {
+		io.WriteString(buf, "HTTP/1.1 200 OK\r\n")
+		w.Header().Write(buf)
+		io.WriteString(buf, "\r\n")
+		buf.Write(body)
+	}
+	buf.Flush()
+}
+
 func (s *Server) body(r *http.Request, job *work, id string) []byte {
 	if n, err := strconv.Atoi(r.URL.Query().Get("blob")); err == nil && n >= 0 {
-		return Blob(job.hash, n)
+		return Blob(uint64(job.key), n)
 	}
 	body, err := json.Marshal(Answer{
-		ID: id, Upstream: s.Name, Path: strings.TrimPrefix(r.URL.Path, "/serve"),
-		KeyHash: job.hash, Length: job.length, Digest: job.digest,
+		ID: id, Upstream: s.Name, Path: r.URL.Path, Key: job.key, Length: job.length, Digest: job.digest,
 	})
 	if err != nil {
 		panic(http.ErrAbortHandler)
@@ -240,7 +272,8 @@
 }
 
 // refuse says that a request was not run.
-func refuse(w http.ResponseWriter, status int, why string) {
-	w.Header().Set(pimento.HeaderOutcome, string(pimento.OutcomeNotRun))
-	http.Error(w, why, status)
+func (s *Server) refuse(w http.ResponseWriter, status int) {
+	w.Header().Set(s.Dialect.NotRun, s.Dialect.NotRunIs)
+	w.Header().Set(s.Dialect.Load, loadText(s.load()))
+	http.Error(w, "not run", status)
 }
--- a/upstreamfaker/server.go
+++ b/upstreamfaker/server.go
@@ -1,15 +1,15 @@
 // Package upstreamfaker is a small stand-in for one upstream: a server with a
-// few slots that owns keys by fenced grants and speaks the wire of
-// docs/WIRES.md.
+// few slots that holds keys by fenced grants. It speaks the product's own wire
+// (docs/WIRES.md) or, with another [Dialect], that of the users' platform.
 //
-// Requests occupy a slot for [Server.Work]. After a start the server is cold:
-// it bears one request at a time and one more for every few it completes; with
-// more than that it falls over and starts again. Faults are switched on over
-// HTTP or by [Server.Inject].
+// Requests occupy a slot for [Server.Work]; a few more are queued, and what does
+// not fit is refused or never answered. After a start the server is cold: it
+// bears a few requests a second, and with more it falls over and starts again.
+// Faults are switched on over HTTP or by [Server.Inject].
 //
 // # Usage
 //
-//	server := &upstreamfaker.Server{Name: "guidebook-1", Slots: 4, Checked: true}
+//	server := &upstreamfaker.Server{Name: "guidebook-1", Slots: 4, Keyed: true}
 //	server.Start()
 //	go server.HTTP().Serve(listener)
 //	server.Inject(upstreamfaker.Faults{Freeze: true})
@@ -26,7 +26,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -34,8 +33,12 @@
 )
 
 const (
-	// runsPerWarmth is how many runs a cold server completes to bear one more.
-	runsPerWarmth = 8
+	// coldFor is how long a server is cold after its start.
+	coldFor = time.Second
+	// coldRate is the requests in any second that a cold server bears.
+	coldRate = 8
+	// queueFactor is how many requests for each slot are queued.
+	queueFactor = 4
 	// maxJournal bounds the number of runs that are kept.
 	maxJournal = 1 << 20
 	// headerTimeout bounds the reading of a request's headers.
@@ -49,19 +52,20 @@
 	Down      bool         // connections are cut without an answer
 	Freeze    bool         // nothing goes on until it ends
 	SlowBy    float64      // work takes so many times as long
-	LoadLag   pimento.Span // load reports are as old as this
 	Late      pimento.Span // added after a run, before its answer
 	CrossNext int          // so many answers carry another request's ID
 	CutNext   int          // so many answers are cut short
+	ExtraNext int          // so many answers are followed by a second one
 	CrashOn   string       // a request whose path or body has this text crashes the server
 	RestartIn pimento.Span // how long the server stays down after a crash
+	LateGrant pimento.Span // grants get no answer and take effect so much later
+	Hang      bool         // what does not fit into the queue is never answered
 }
 
 // Run is one request that took effect.
 type Run struct {
 	ID         string
-	KeyHash    uint64
-	Fence      uint64
+	Key        pimento.Key
 	Idempotent bool
 	Started    time.Time
 	Ended      time.Time
@@ -70,13 +74,13 @@
 // Report is what the stand-in has counted.
 type Report struct {
 	Name      pimento.UpstreamName
-	Boot      string
+	Started   time.Time
 	Runs      int
 	FellOver  int // times it got more than it could bear
 	Crashes   int // times a request crashed it
-	Rejected  int // requests refused for their fence or key
+	Rejected  int // requests refused for their key
+	Full      int // requests that did not fit into the queue
 	PeakSlots int // most requests at once
-	Bears     int // requests it bears at once now
 }
 
 // Server is the stand-in. Set the exported fields before Start.
@@ -84,45 +88,42 @@
 	Name      pimento.UpstreamName
 	Slots     int
 	Work      time.Duration // how long one request occupies a slot
-	Checked   bool          // refuses what its grant does not cover
+	Keyed     bool          // refuses keys that it does not hold
 	StartWarm bool
+	Dialect   Dialect // zero: the product's own
 
 	mu       sync.Mutex
 	faults   Faults
-	boot     string
 	started  time.Time
-	warmth   int
-	done     int
+	coldTo   time.Time
+	arrivals []time.Time // while cold
 	inFlight int
-	running  map[uint64]int // by key hash
-	grant    pimento.Grant
+	running  map[pimento.Key]int
+	keys     keys
 	stop     context.CancelFunc
 	life     context.Context
 	upAgain  time.Time
 	journal  []Run
-	loads    []loadSample
 	report   Report
 	slots    chan struct{}
 	conns    map[net.Conn]bool
 }
 
-type loadSample struct {
-	at       time.Time
-	inFlight int
-}
-
 // Start boots the server. A later call is a restart, which forgets grants and
 // ends all running requests.
 func (s *Server) Start() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.Dialect == (Dialect{}) {
+		s.Dialect = OwnDialect
+	}
 	s.restart()
 	if s.StartWarm {
-		s.warmth = s.Slots
+		s.coldTo = time.Time{}
 	}
 }
 
-// bootKey is the key of the boot in which a connection was made.
+// bootKey is the key of the start in which a connection was made.
 type bootKey struct{}
 
 // HTTP returns a server for the stand-in whose connections end with each
@@ -131,7 +132,7 @@
 	return &http.Server{
 		Handler: s.Handler(), ReadHeaderTimeout: headerTimeout, ConnState: s.track,
 		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
-			return context.WithValue(ctx, bootKey{}, s.Report().Boot)
+			return context.WithValue(ctx, bootKey{}, s.Report().Started)
 		},
 	}
 }
@@ -151,7 +152,7 @@
 	}
 }
 
-// restart begins a new boot. The caller holds mu.
+// restart begins a new life. The caller holds mu.
 func (s *Server) restart() {
 	if s.stop != nil {
 		s.stop()
@@ -160,11 +161,11 @@
 		c.Close()
 	}
 	s.life, s.stop = context.WithCancel(context.Background())
-	s.boot = strconv.FormatUint(rand.Uint64(), 36)
-	s.started = time.Now()
-	s.warmth, s.done, s.inFlight = 1, 0, 0
-	s.grant = pimento.Grant{}
-	s.running = make(map[uint64]int)
+	s.started = time.Now().Round(time.Millisecond)
+	s.coldTo, s.arrivals = time.Now().Add(coldFor), nil
+	s.inFlight = 0
+	s.keys = keys{}
+	s.running = make(map[pimento.Key]int)
 	s.slots = make(chan struct{}, s.Slots)
 }
 
@@ -187,21 +188,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.report
-	r.Name, r.Boot, r.Runs, r.Bears = s.Name, s.boot, len(s.journal), s.warmth
+	r.Name, r.Started, r.Runs = s.Name, s.started, len(s.journal)
 	return r
 }
 
 // Handler returns the HTTP handler of the server and of its faults.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /grant", s.alive(s.handleGrant))
-	mux.HandleFunc("POST /drain", s.alive(s.handleDrain))
-	mux.HandleFunc("GET /health", s.alive(s.handleHealth))
-	mux.HandleFunc("GET /load", s.alive(s.handleLoad))
-	mux.HandleFunc("/serve/", s.alive(s.handleServe))
-	mux.HandleFunc("PUT /faults", s.handleFaults)
-	mux.HandleFunc("GET /report", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Report()) })
-	mux.HandleFunc("GET /journal", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Journal()) })
+	mux.HandleFunc("POST "+s.Dialect.GrantPath, s.alive(s.handleGrant))
+	mux.HandleFunc("POST "+s.Dialect.ReleasePath, s.alive(s.handleRelease))
+	mux.HandleFunc("GET "+s.Dialect.HealthPath, s.alive(s.handleHealth))
+	mux.HandleFunc("PUT /stand-in/faults", s.handleFaults)
+	mux.HandleFunc("GET /stand-in/report", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Report()) })
+	mux.HandleFunc("GET /stand-in/journal", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Journal()) })
+	mux.HandleFunc("/", s.alive(s.handleServe))
 	return mux
 }
 
@@ -209,7 +209,7 @@
 func (s *Server) alive(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.thaw()
-		if boot, ok := r.Context().Value(bootKey{}).(string); s.isDown() || ok && boot != s.Report().Boot {
+		if boot, ok := r.Context().Value(bootKey{}).(time.Time); s.isDown() || ok && !boot.Equal(s.Report().Started) {
 			panic(http.ErrAbortHandler)
 		}
 		next(w, r)
@@ -235,63 +235,24 @@
 	}
 }
 
-func (s *Server) handleGrant(w http.ResponseWriter, r *http.Request) {
-	var g pimento.Grant
-	if err := json.NewDecoder(r.Body).Decode(&g); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	newer := g.Fence > s.grant.Fence || g.Fence == s.grant.Fence && g.Sequence >= s.grant.Sequence
-	if newer {
-		s.grant = g
-	}
-	a := s.answer()
-	a.Accepted = newer
-	s.mu.Unlock()
-	writeJSON(w, a)
-}
-
-// answer describes the server. The caller holds mu.
-func (s *Server) answer() pimento.GrantAnswer {
-	return pimento.GrantAnswer{Fence: s.grant.Fence, Boot: s.boot, Clock: time.Since(s.started), InFlight: s.inFlight}
-}
-
+// handleHealth tells of the present life.
 func (s *Server) handleHealth(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
-	a := s.answer()
+	started, cold := s.started, max(0, time.Until(s.coldTo))
+	load := s.load()
 	s.mu.Unlock()
-	writeJSON(w, a)
+	s.Dialect.writeHealth(w, s.Name, load, cold)
+	writeJSON(w, struct {
+		Upstream pimento.UpstreamName
+		Started  time.Time
+		ColdFor  pimento.Span
+	}{s.Name, started, pimento.Span(cold)})
 }
 
-func (s *Server) handleDrain(w http.ResponseWriter, r *http.Request) {
-	var ranges []pimento.Range
-	if err := json.NewDecoder(r.Body).Decode(&ranges); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	left := 0
-	for hash, n := range s.running {
-		if covers(ranges, hash) {
-			left += n
-		}
-	}
-	s.mu.Unlock()
-	writeJSON(w, struct{ InFlight int }{left})
-}
-
-func (s *Server) handleLoad(w http.ResponseWriter, _ *http.Request) {
-	s.mu.Lock()
-	at := time.Now().Add(-time.Duration(s.faults.LoadLag))
-	report := pimento.LoadReport{Slots: s.Slots}
-	for _, sample := range s.loads {
-		if !sample.at.After(at) {
-			report.InFlight = sample.inFlight
-		}
-	}
-	s.mu.Unlock()
-	writeJSON(w, report)
+// load describes what runs and waits. The caller holds mu.
+func (s *Server) load() pimento.LoadReport {
+	n := min(s.inFlight, s.Slots)
+	return pimento.LoadReport{InFlight: n, Waiting: s.inFlight - n, Slots: s.Slots}
 }
 
 func (s *Server) handleFaults(w http.ResponseWriter, r *http.Request) {
@@ -306,16 +267,12 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func covers(ranges []pimento.Range, hash uint64) bool {
-	return slices.ContainsFunc(ranges, func(r pimento.Range) bool { return r.Start <= hash && hash <= r.End })
-}
-
 // Answer is the body of a stand-in's answer to a request that is not a blob.
 type Answer struct {
 	ID       string
 	Upstream pimento.UpstreamName
 	Path     string
-	KeyHash  uint64
+	Key      pimento.Key
 	Length   int64  // bytes of the request's body
 	Digest   string // SHA-256 of the request's body, hexadecimal
 }
--- a/wire.go
+++ b/wire.go
@@ -12,6 +12,7 @@
 	Service    ServiceName
 	Key        Key
 	Keyed      bool // Key was sent
+	Named      bool // the caller gave the ID, so it may send the request again
 	Method     string
 	Path       string // with query, as it came
 	Host       string
@@ -26,6 +27,9 @@
 	// ReadRequest fills in ID, Key, Keyed and Deadline from the header of a
 	// request that arrived at now. The error is an *OutcomeError.
 	ReadRequest(h http.Header, now time.Time, r *Request) error
+	// WriteAnswer sets what the header of an upstream's answer is to say
+	// besides.
+	WriteAnswer(h http.Header, r *Request)
 	// WriteRefusal sets the header of an answer to a request that ended
 	// without one of an upstream, and returns its status.
 	WriteRefusal(h http.Header, r *Request, out *OutcomeError) int
