Log and count every request, and refuse as not run only what never ran

Cause: an engineer could not find out why a request failed: nothing logged a request, the metrics had none of the product, the store's loss was not logged, and a log that nobody reads would have blocked the process.

New: one line for each request with its ID, route, manifest version, epoch, what each try went by (dispatcher, slots in use, expected time, version of the owners) and what came of it; lines for repeats, cut answers, moves of keys, lost and regained store and upstreams, left-out entries. A bucket for each kind of event bounds the volume and tells what it left out; a writer beside the process never blocks. Counters and histograms of requests, tries, permits and calls to the store, gauges of state.

Found by the new test of the forwarder: an idempotent request that may have run and was then turned away was told "not run". It is Unknown now and keeps its Retry-After.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -66,6 +66,9 @@
 	// OnRefused is told of requests that ended before they reached the
 	// Handler; it may be nil.
 	OnRefused func(r *pimento.Request, out *pimento.OutcomeError)
+	// OnCut is told of answers that did not reach their callers whole, because
+	// the caller left or the answer broke off; it may be nil.
+	OnCut func(r *pimento.Request, err error)
 
 	mu       sync.Mutex
 	listener net.Listener
--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -142,6 +142,7 @@
 // answer writes one answer and reports whether another may follow.
 func (c *conn) answer(x *exchange) bool {
 	if c.ctx.Err() != nil {
+		c.cut(x, context.Cause(c.ctx))
 		return false
 	}
 	last := x.last || c.isLast()
@@ -154,6 +155,7 @@
 	}
 	if err := c.send(x, head, body, last); err != nil {
 		c.raw.Close()
+		c.cut(x, err)
 		return false
 	}
 	if last {
@@ -162,6 +164,13 @@
 	return !last
 }
 
+// cut tells of an answer of an upstream that did not reach its caller whole.
+func (c *conn) cut(x *exchange, err error) {
+	if x.out == nil && c.a.OnCut != nil {
+		c.a.OnCut(x.request, err)
+	}
+}
+
 // isLast reports whether the process is shutting down and no other request
 // waits on the connection. One that was read since then is marked as the last
 // by the reader, so that a caller that keeps sending is not served for ever.
--- a/admitter/acquire.go
+++ b/admitter/acquire.go
@@ -113,8 +113,11 @@
 		a.done(key, d.Ticket, scheduler.Result{Kind: scheduler.ResultCanceled})
 		return nil, pimento.NotRun(pimento.ReasonNoOwner, "the upstream is gone")
 	}
-	client := a.client(s)
-	return &permit{admitter: a, server: s, client: client, tell: func(r scheduler.Result) { a.done(key, d.Ticket, r) }}, nil
+	basis := forwarder.Basis{
+		Dispatcher: a.Self.ID, Running: d.Running, Slots: d.Slots, Expected: d.Expected, Owners: a.ownersVersion(),
+	}
+	tell := func(r scheduler.Result) { a.done(key, d.Ticket, r) }
+	return &permit{server: s, basis: basis, client: a.client(s), tell: tell}, nil
 }
 
 // gaveUp says that a request's context ended before it got a permit.
@@ -139,7 +142,7 @@
 		return nil, err
 	case reply.Refusal != nil:
 		out := pimento.NotRun(reply.Refusal.Reason, reply.Refusal.Detail)
-		out.RetryAfter = reply.Refusal.RetryAfter
+		out.RetryAfter, out.By = reply.Refusal.RetryAfter, p.ID
 		return nil, out
 	case reply.Permit != nil:
 		return a.remote(p, key, reply.Permit)
@@ -171,7 +174,8 @@
 			a.isDown(ctx, p, err)
 		}
 	}
-	return &permit{admitter: a, server: s, client: a.client(s), tell: tell}, nil
+	basis := forwarder.Basis{Dispatcher: p.ID, Running: m.Running, Slots: m.Slots, Expected: m.Expected, Owners: m.Owners}
+	return &permit{server: s, basis: basis, client: a.client(s), tell: tell}, nil
 }
 
 // tellTimeout bounds the message that gives a permit back.
@@ -179,17 +183,20 @@
 
 // permit implements forwarder.Permit.
 type permit struct {
-	admitter *Admitter
-	server   pimento.Server
-	client   *connector.Client
-	tell     func(scheduler.Result)
-	sentAt   time.Time
-	result   scheduler.Result
+	server pimento.Server
+	basis  forwarder.Basis
+	client *connector.Client
+	tell   func(scheduler.Result)
+	sentAt time.Time
+	result scheduler.Result
 }
 
 // Upstream implements forwarder.Permit.
 func (p *permit) Upstream() pimento.UpstreamName { return p.server.Name }
 
+// Basis implements forwarder.Permit.
+func (p *permit) Basis() forwarder.Basis { return p.basis }
+
 // Serve implements forwarder.Permit.
 func (p *permit) Serve(ctx context.Context, r *pimento.Request, body io.Reader) (pimento.Answer, pimento.AnswerMark, error) {
 	p.sentAt = time.Now()
--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -49,8 +49,10 @@
 	Services  []pimento.Service
 	Upstreams []scheduler.Upstream
 	Owners    map[pimento.ServiceName][]scheduler.Owner
-	Pools     []pimento.Pool
-	Processes map[pimento.ProcessID]pimento.Process
+	// OwnersVersion is that of Owners; zero where this process is told none.
+	OwnersVersion uint64
+	Pools         []pimento.Pool
+	Processes     map[pimento.ProcessID]pimento.Process
 }
 
 // Service returns the service called name.
--- a/admitter/serve.go
+++ b/admitter/serve.go
@@ -34,9 +34,17 @@
 	}
 	return &messenger.Message{Permit: &messenger.Permit{
 		Ticket: d.Ticket, Name: s.Name, Address: s.Address.String(), Started: s.Started.UnixMilli(), Domain: s.Domain,
+		Running: d.Running, Slots: d.Slots, Expected: d.Expected.Round(time.Millisecond), Owners: a.ownersVersion(),
 	}}
 }
 
+// ownersVersion returns the version of the owners that are known here.
+func (a *Admitter) ownersVersion() uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.board.OwnersVersion
+}
+
 // server returns what the board says of an upstream.
 func (a *Admitter) server(name pimento.UpstreamName) (pimento.Server, bool) {
 	a.mu.Lock()
--- a/event.go
+++ b/event.go
@@ -13,6 +13,9 @@
 	EventProcessStopped  EventNumber = 1003
 	EventRegistered      EventNumber = 1004
 	EventDutyFailed      EventNumber = 1006
+	EventLinesDropped    EventNumber = 1007
+	EventSettingsChanged EventNumber = 1008
+	EventSettingsInvalid EventNumber = 1009
 	EventConfigInvalid   EventNumber = 2006
 	EventPlatformLost    EventNumber = 2007
 	EventPlatformBack    EventNumber = 2008
@@ -32,6 +35,9 @@
 	EventKeysMoved       EventNumber = 4009
 	EventRequestUnknown  EventNumber = 6001
 	EventRequestNotRun   EventNumber = 6002
+	EventRequestAnswered EventNumber = 6003
+	EventRequestRepeated EventNumber = 6004
+	EventAnswerCut       EventNumber = 6005
 )
 
 // eventNames are the names of the events in logs and on the time line.
@@ -41,6 +47,9 @@
 	EventProcessStopped:  "process stopped",
 	EventRegistered:      "process registered",
 	EventDutyFailed:      "duty failed and is started again",
+	EventLinesDropped:    "log lines were left out",
+	EventSettingsChanged: "settings have changed",
+	EventSettingsInvalid: "changed settings are not valid",
 	EventConfigInvalid:   "configuration in the platform is not valid",
 	EventPlatformLost:    "platform gives no answer",
 	EventPlatformBack:    "platform answers again",
@@ -60,6 +69,9 @@
 	EventKeysMoved:       "keys go to another upstream",
 	EventRequestUnknown:  "request ended with unknown outcome",
 	EventRequestNotRun:   "request was not run",
+	EventRequestAnswered: "request was answered",
+	EventRequestRepeated: "request is tried again",
+	EventAnswerCut:       "answer did not reach its caller",
 }
 
 // String returns the event's name.
--- a/fault.go
+++ b/fault.go
@@ -141,6 +141,8 @@
 	// RetryAfter is how long the caller should wait before it sends the
 	// request again; zero: not told.
 	RetryAfter time.Duration
+	// By is the process that refused; empty: the one that took the request.
+	By ProcessID
 }
 
 // Error names outcome and reason.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -44,6 +44,8 @@
 type Permit interface {
 	// Upstream names the upstream that the request may go to.
 	Upstream() pimento.UpstreamName
+	// Basis says who decided for the upstream, and by what.
+	Basis() Basis
 	// Serve sends the request.
 	Serve(ctx context.Context, r *pimento.Request, body io.Reader) (pimento.Answer, pimento.AnswerMark, error)
 	// Done gives the permit back and tells how the request ended.
@@ -82,6 +84,8 @@
 	Records Records
 	// NeedKey refuses requests without a key for services divided by key.
 	NeedKey bool
+	// Observer is told what happens to requests; nil: nobody is.
+	Observer Observer
 
 	mu     sync.Mutex
 	shares map[pimento.RouteName]*share
@@ -90,13 +94,24 @@
 
 // Handle implements acceptor.Handler.
 func (f *Forwarder) Handle(ctx context.Context, r *pimento.Request, body io.Reader) (pimento.Answer, error) {
-	now := time.Now()
+	trail := &Trail{Began: time.Now()}
+	answer, err := f.handle(ctx, r, body, trail)
+	if f.Observer != nil {
+		f.Observer.Ended(r, trail, answer.Head.Status, err)
+	}
+	return answer, err
+}
+
+// handle is Handle with a trail that notes what happens.
+func (f *Forwarder) handle(ctx context.Context, r *pimento.Request, body io.Reader, trail *Trail) (pimento.Answer, error) {
+	now := trail.Began
 	view := f.View()
 	if view == nil {
 		out := pimento.NotRun(pimento.ReasonNoManifest, "no manifest is known here yet")
 		out.RetryAfter = manifestPause
 		return pimento.Answer{}, out
 	}
+	trail.Manifest = view.Manifest.Version
 	path, _, _ := strings.Cut(r.Path, "?")
 	route, ok := view.Routes.Match(r.Host, path)
 	if !ok {
@@ -115,25 +130,28 @@
 		r.Deadline = end
 	}
 	if r.Named && f.Records != nil && !route.Idempotent(r.Method) {
-		return f.once(ctx, r, body)
+		return f.once(ctx, r, body, trail)
 	}
-	return f.forward(ctx, r, body)
+	return f.forward(ctx, r, body, trail)
 }
 
 // forward sends a request until it is answered or may not be sent again.
-func (f *Forwarder) forward(ctx context.Context, r *pimento.Request, body io.Reader) (pimento.Answer, error) {
+func (f *Forwarder) forward(ctx context.Context, r *pimento.Request, body io.Reader, trail *Trail) (pimento.Answer, error) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	again := &repeatable{src: body}
 	try := Try{Number: 1}
 	for {
-		answer, err := f.try(ctx, r, again, &try)
+		answer, err := f.try(ctx, r, again, &try, trail)
 		if err == nil && answer.Body != nil {
 			answer.Body = &endBody{ReadCloser: answer.Body, end: cancel}
 			return answer, nil
 		}
 		if err == nil || !f.mayRepeat(ctx, r, again, try, err) {
 			cancel()
-			return answer, err
+			return answer, trail.overall(err)
+		}
+		if f.Observer != nil {
+			f.Observer.Repeated(r, trail, err)
 		}
 		try.Number++
 	}
@@ -155,8 +173,11 @@
 }
 
 // try sends a request once.
-func (f *Forwarder) try(ctx context.Context, r *pimento.Request, body io.Reader, try *Try) (pimento.Answer, error) {
+func (f *Forwarder) try(ctx context.Context, r *pimento.Request, body io.Reader, try *Try, trail *Trail) (pimento.Answer, error) {
+	asked := time.Now()
 	permit, err := f.Dispatch.Acquire(ctx, r, *try)
+	waited := time.Since(asked)
+	trail.Waited += waited
 	if err != nil {
 		return pimento.Answer{}, err
 	}
@@ -165,6 +186,9 @@
 	if err == nil {
 		answer, err = keep(answer)
 	}
+	trail.Tries = append(trail.Tries, Attempt{
+		Upstream: permit.Upstream(), Basis: permit.Basis(), Waited: waited, Took: time.Since(asked) - waited, Err: err,
+	})
 	if err != nil || answer.Head.BodyLength >= 0 && answer.Head.BodyLength <= keepSize {
 		permit.Done(err)
 		return answer, err
--- a/forwarder/once.go
+++ b/forwarder/once.go
@@ -12,7 +12,7 @@
 
 // once runs a request that its caller named if it is new, and otherwise answers
 // from its record.
-func (f *Forwarder) once(ctx context.Context, r *pimento.Request, body io.Reader) (pimento.Answer, error) {
+func (f *Forwarder) once(ctx context.Context, r *pimento.Request, body io.Reader, trail *Trail) (pimento.Answer, error) {
 	entering, cancel := context.WithDeadline(ctx, r.Deadline)
 	record, fresh, err := f.Records.Begin(entering, r)
 	cancel()
@@ -20,13 +20,14 @@
 		return pimento.Answer{}, err
 	}
 	if !fresh {
+		trail.Replayed = true
 		return replay(record)
 	}
 	running := ctx
 	if r.BodyLength >= 0 && r.BodyLength <= keepSize {
 		running = context.WithoutCancel(ctx) // its end is recorded though the caller leaves
 	}
-	answer, err := f.forward(running, r, body)
+	answer, err := f.forward(running, r, body, trail)
 	if err != nil {
 		record.State = pimento.RecordUnknown
 		var out *pimento.OutcomeError
--- a/leader/grants.go
+++ b/leader/grants.go
@@ -136,6 +136,9 @@
 func (l *Leader) probeLost() {
 	t := l.lead
 	for _, run := range l.keeper.LostRuns() {
+		if _, known := t.down[run.Upstream]; !known {
+			l.Events.Emit(pimento.EventUpstreamLost, "Upstream", run.Upstream, "Started", run.Started)
+		}
 		t.down[run.Upstream] = run
 	}
 	for name, run := range t.down {
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -145,6 +145,7 @@
 	verifyAt time.Time
 	planAt   time.Time
 	writing  bool
+	moves    []string  // of the plan that is being made or written, for the log
 	joinAt   time.Time // when the registered processes are to be read next
 	reading  bool
 	dirtyAt  time.Time // since when the assignment names former holders that are gone
--- a/leader/plan.go
+++ b/leader/plan.go
@@ -1,7 +1,9 @@
 package leader
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"pimentorelay.example/pimento"
@@ -38,6 +40,7 @@
 // plan writes the next assignment if one is due.
 func (l *Leader) plan(now time.Time, in keeper.Input) {
 	t := l.lead
+	t.moves = nil
 	next := l.assignment.Clone()
 	changed := l.planTerm(now, &next)
 	if !changed && (t.upstreams.version == 0 || !l.HasAuthority() || l.manifest() == nil) {
@@ -55,9 +58,13 @@
 		return
 	}
 	t.writing = true
+	moves := t.moves
 	l.write(t.ctx, next, l.revision, func(s stored, won bool) {
 		t.writing = false
 		l.learn(timekeeper.Now(), s)
+		if won {
+			l.tellMoves(s.revision, moves)
+		}
 		if !won {
 			l.Events.Emit(pimento.EventWriteConflict, "Revision", s.revision, "Leader", s.assignment.Term.Leader)
 		}
@@ -67,6 +74,19 @@
 	})
 }
 
+// tellMoves logs the moves of a plan that was written.
+func (l *Leader) tellMoves(revision uint64, moves []string) {
+	if len(moves) == 0 {
+		return
+	}
+	more := max(0, len(moves)-maxMovesTold)
+	told := strings.Join(moves[:len(moves)-more], "; ")
+	l.Events.Emit(pimento.EventKeysMoved, "Epoch", l.elector.Term().Epoch, "Revision", revision, "Moves", told, "More", more)
+}
+
+// maxMovesTold is the most moves that one line tells.
+const maxMovesTold = 20
+
 func sameMember(a, b pimento.Member) bool { return a.ID == b.ID && a.Idle == b.Idle }
 
 func samePool(a, b pimento.Pool) bool {
@@ -144,6 +164,7 @@
 		moves := partitioner.Plan(l.tableInput(now, in, s, next.Table(s.Name), balance))
 		for _, m := range moves {
 			l.move(in, next, next.Table(s.Name), m)
+			l.lead.moves = append(l.lead.moves, fmt.Sprintf("%s %s to %s (%s)", s.Name, m.KeyRange, m.Holder.Upstream, m.Reason))
 		}
 		changed = changed || len(moves) > 0
 	}
--- a/messenger/state.go
+++ b/messenger/state.go
@@ -127,6 +127,12 @@
 	Address string               `cbor:"3,keyasint"`
 	Started int64                `cbor:"4,keyasint"` // Unix milliseconds
 	Domain  pimento.DomainName   `cbor:"5,keyasint"`
+
+	// What decided for the upstream, for the log of the process that asked.
+	Running  int           `cbor:"6,keyasint,omitempty"`
+	Slots    int           `cbor:"7,keyasint,omitempty"`
+	Expected time.Duration `cbor:"8,keyasint,omitempty"`
+	Owners   uint64        `cbor:"9,keyasint,omitempty"` // version of the owners that the dispatcher knows
 }
 
 // Refusal says that a request gets no permit.
--- a/partitioner/partitioner.go
+++ b/partitioner/partitioner.go
@@ -63,10 +63,21 @@
 	Balance bool
 }
 
+// Reason says why keys go to another holder.
+type Reason string
+
+// The reasons.
+const (
+	ReasonOrphan  Reason = "Orphan"  // the holder cannot keep them, or there was none
+	ReasonBalance Reason = "Balance" // the holder has too much load
+	ReasonJoin    Reason = "Join"    // the new holder has next to no keys
+)
+
 // Move sends a range of keys to another holder.
 type Move struct {
 	pimento.KeyRange
 	Holder pimento.Run
+	Reason Reason
 }
 
 // share is an upstream with what it holds.
@@ -193,7 +204,7 @@
 			piece, rest, more := p.cut(r, mean*to.Capacity-to.load)
 			to.load += p.load(piece)
 			to.keys += piece.Len()
-			p.moves = append(p.moves, Move{KeyRange: piece, Holder: to.Run})
+			p.moves = append(p.moves, Move{KeyRange: piece, Holder: to.Run, Reason: ReasonOrphan})
 			if !more {
 				break
 			}
@@ -263,7 +274,11 @@
 		if joins {
 			want = max(want, mean*to.Capacity/joinParts)
 		}
-		if want < minLoad && !joins || !p.shift(from, to, want) {
+		reason := ReasonBalance
+		if joins {
+			reason = ReasonJoin
+		}
+		if want < minLoad && !joins || !p.shift(from, to, want, reason) {
 			return
 		}
 	}
@@ -274,7 +289,7 @@
 
 // shift moves the narrowest range that carries about the wanted load, and
 // reports whether there is one.
-func (p *plan) shift(from, to *share, want float64) bool {
+func (p *plan) shift(from, to *share, want float64, reason Reason) bool {
 	r, i, ok := p.narrowest(from, want)
 	if !ok {
 		return false
@@ -295,7 +310,7 @@
 	if r.To < piece.To {
 		from.pieces = append(from.pieces, pimento.KeyRange{From: r.To + 1, To: piece.To})
 	}
-	p.moves = append(p.moves, Move{KeyRange: r, Holder: to.Run})
+	p.moves = append(p.moves, Move{KeyRange: r, Holder: to.Run, Reason: reason})
 	return true
 }
 
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"os"
@@ -13,6 +14,7 @@
 
 	"pimentorelay.example/pimento"
 	"pimentorelay.example/pimento/platform"
+	"pimentorelay.example/pimento/recorder"
 	"pimentorelay.example/pimento/router"
 )
 
@@ -35,10 +37,12 @@
 type serveOptions struct {
 	Operator string
 	LogLevel string
+
+	output *recorder.Writer // for the log
 }
 
 func newServeCommand() *cobra.Command {
-	o := &serveOptions{}
+	o := &serveOptions{output: &recorder.Writer{To: os.Stdout}}
 	cmd := &cobra.Command{
 		Use:   "serve",
 		Short: "Run one process on the platform",
@@ -47,7 +51,8 @@
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
-			return o.run(ctx, os.Getenv(platform.SettingsVariable))
+			o.output.Start()
+			return errors.Join(o.run(ctx, os.Getenv(platform.SettingsVariable)), o.output.Close())
 		},
 	}
 	f := cmd.Flags()
@@ -80,14 +85,13 @@
 	if o.Operator != "" {
 		operator = parseAddress(v, "--operator", o.Operator)
 	}
-	log := hclog.New(&hclog.LoggerOptions{Name: "relay", Level: level, JSONFormat: true, Output: os.Stdout})
-	store := &platform.Store{Address: s.Store, HTTP: platform.NewHTTP()}
-	return &router.Router{
+	log := hclog.New(&hclog.LoggerOptions{Name: "relay", Level: level, JSONFormat: true, Output: o.output})
+	r := &router.Router{
 		Host: s.Host, Domain: s.Domain, Peer: netip.AddrPortFrom(s.IP, s.FirstPort), Caller: s.Caller,
 		Ready: s.Ready, ReadyPath: platform.ReadyPath, Operator: operator,
-		Store: store, Source: &platform.Registry{Store: store, OnFault: func(name string, err error) {
-			log.Debug("entry is left out", "name", name, "cause", err)
-		}},
 		CallerWire: platform.Wire{}, UpstreamWire: platform.Wire{}, Bounds: s.Bounds, Log: log,
-	}, v.Err()
+	}
+	store := &platform.Store{Address: s.Store, HTTP: platform.NewHTTP(), OnResult: r.StoreResult}
+	r.Store, r.Source = store, &platform.Registry{Store: store, OnFault: r.EntryFault}
+	return r, v.Err()
 }
--- a/router/follower.go
+++ b/router/follower.go
@@ -208,7 +208,10 @@
 
 // board returns what the admitter reads. The caller holds mu.
 func (f *follower) board() *admitter.Board {
-	b := &admitter.Board{Upstreams: f.usable(), Owners: f.owners, Processes: make(map[pimento.ProcessID]pimento.Process)}
+	b := &admitter.Board{
+		Upstreams: f.usable(), Owners: f.owners, OwnersVersion: f.versions.Owners,
+		Processes: make(map[pimento.ProcessID]pimento.Process),
+	}
 	if v := f.view.Load(); v != nil {
 		b.Services = v.Manifest.Services
 	}
--- a/router/operate.go
+++ b/router/operate.go
@@ -27,6 +27,32 @@
 	return serveHTTP(ctx, l, mux)
 }
 
+// gauges shows what this process is and knows among its metrics.
+func (r *Router) gauges() {
+	for name, value := range map[string]func() float64{
+		"relay_ready":              func() float64 { return number(r.isReady()) },
+		"relay_leads":              func() float64 { return number(r.leader.Leads()) },
+		"relay_led":                func() float64 { return number(r.leader.IsLed()) },
+		"relay_store_reached":      func() float64 { return number(r.leader.HasStore()) },
+		"relay_epoch":              func() float64 { return float64(r.leader.Term().Epoch) },
+		"relay_manifest_version":   func() float64 { return float64(r.follower.Versions().Manifest) },
+		"relay_unheld_keys":        func() float64 { return float64(r.follower.unheld()) },
+		"relay_waiting_requests":   func() float64 { return float64(r.admitter.Waiting()) },
+		"relay_active_requests":    func() float64 { return float64(r.acceptor.Active()) },
+		"relay_caller_connections": func() float64 { return float64(r.acceptor.Connections()) },
+		"relay_request_records":    func() float64 { return float64(r.registrar.Len()) },
+	} {
+		r.metrics.NewGauge(name, value)
+	}
+}
+
+func number(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // guard asks for the operators' token and writes a value as JSON.
 func (r *Router) guard(value func() any) http.HandlerFunc {
 	return func(w http.ResponseWriter, req *http.Request) {
--- a/router/router.go
+++ b/router/router.go
@@ -67,6 +67,9 @@
 	self      pimento.Process
 	events    *recorder.Recorder
 	metrics   *metrics.Set
+	observer  *observer
+	store     dependency
+	faults    faults
 	acceptor  *acceptor.Acceptor
 	admitter  *admitter.Admitter
 	messenger *messenger.Messenger
@@ -114,8 +117,11 @@
 
 // assemble makes the parts.
 func (r *Router) assemble() {
-	r.events = &recorder.Recorder{Process: r.self.ID, Log: r.Log}
 	r.metrics = metrics.NewSet()
+	r.events = &recorder.Recorder{Process: r.self.ID, Log: r.Log, OnDropped: func(n pimento.EventNumber) {
+		r.observer.count("relay_log_lines_dropped_total", "Event", int(n))
+	}}
+	r.observer = &observer{events: r.events, metrics: r.metrics, epoch: func() uint64 { return r.leader.Term().Epoch }}
 	r.messenger = &messenger.Messenger{Self: r.self, Handler: (*handler)(r)}
 	r.admitter = &admitter.Admitter{Self: r.self, Peers: r.messenger, Wire: r.UpstreamWire, Bounds: admitter.Bounds{
 		RetryRatio: r.Bounds.RetryRatio, RetrySlack: r.Bounds.RetrySlack, RetryWindow: r.Bounds.RetryWindow,
@@ -128,9 +134,12 @@
 	}
 	r.leader.Init()
 	r.acceptor = &acceptor.Acceptor{
-		Handler: &forwarder.Forwarder{View: r.follower.view.Load, Dispatch: r.admitter, Records: r.registrar, NeedKey: r.NeedKey},
-		Wire:    r.CallerWire, Limits: r.follower.limits,
+		Handler: &forwarder.Forwarder{
+			View: r.follower.view.Load, Dispatch: r.admitter, Records: r.registrar, NeedKey: r.NeedKey, Observer: r.observer,
+		},
+		Wire: r.CallerWire, Limits: r.follower.limits, OnRefused: r.observer.Refused, OnCut: r.observer.Cut,
 	}
+	r.gauges()
 }
 
 // listeners are the sockets of a process.
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -66,6 +66,12 @@
 	Ticket   uint64
 	Upstream pimento.UpstreamName
 	Refusal  *pimento.OutcomeError
+	// Running, Slots and Expected are what decided for the upstream: the
+	// requests there, this one included, of how many, and how long this one was
+	// expected to take.
+	Running  int
+	Slots    int
+	Expected time.Duration
 }
 
 // Upstream is what a pool is told of one upstream.
--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -78,8 +78,11 @@
 				rest = append(rest, t)
 				continue
 			}
+			expected := p.expected(now, t, u)
 			p.start(now, t, u)
-			out = append(out, Decision{Ticket: t.ID, Upstream: u.Name})
+			out = append(out, Decision{
+				Ticket: t.ID, Upstream: u.Name, Running: len(u.running), Slots: p.limit(now, u), Expected: expected,
+			})
 		}
 		p.waiting = rest
 	}
