Reread the settings on SIGHUP and when their file changes

Cause: SIGHUP ended the process, since nothing handled it; a changed settings file was not seen.

Bounds of repeats and of the shutdown take effect at once; addresses and the longest hold are logged as waiting for a restart, since grants that are out rely on the hold. Faulty settings change nothing and are logged.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -88,7 +88,7 @@
 	Self   pimento.Process
 	Peers  Peers
 	Wire   pimento.UpstreamWire
-	Bounds Bounds
+	Bounds Bounds // see SetBounds
 
 	mu     sync.Mutex
 	board  *Board
@@ -148,6 +148,17 @@
 	runAll(decided)
 }
 
+// SetBounds replaces the bounds of a running Admitter.
+func (a *Admitter) SetBounds(b Bounds) {
+	a.init()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.Bounds = b
+	for key, p := range a.pools {
+		p.machine.SetConfig(a.config(key))
+	}
+}
+
 // inform tells a pool what the board says of it. The caller holds mu.
 func (a *Admitter) inform(now time.Time, key poolKey, p *pool) {
 	count := len(a.board.poolsOf(key.service))
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -26,6 +26,8 @@
 
 SIGTERM or SIGINT begins a graceful shutdown: the process is not ready any more,
 finishes what was sent to it, and ends within the grace that the settings allow.
+SIGHUP rereads the settings file, which is also done when it changes. What cannot
+change in a running process is logged and takes effect at the next start.
 
 Examples:
 
@@ -63,6 +65,8 @@
 
 // run runs a process with the settings in a file.
 func (o *serveOptions) run(ctx context.Context, path string) error {
+	hangups, stop := watchHangup()
+	defer stop()
 	if path == "" {
 		return fmt.Errorf("%s names no settings file", platform.SettingsVariable)
 	}
@@ -74,6 +78,10 @@
 	if err != nil {
 		return err
 	}
+	r.Started = func(pimento.Process) {
+		x := &reloader{Path: path, Pause: reloadPause, Apply: r.SetBounds, Tell: r.Tell, settings: s}
+		go x.run(ctx, hangups)
+	}
 	return r.Run(ctx)
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -57,7 +57,7 @@
 	Source       pimento.Source
 	CallerWire   pimento.CallerWire
 	UpstreamWire pimento.UpstreamWire
-	Bounds       pimento.Bounds
+	Bounds       pimento.Bounds // see SetBounds
 	// NeedKey refuses requests without a key for services divided by key.
 	NeedKey bool
 	Log     hclog.Logger
@@ -70,6 +70,7 @@
 	observer  *observer
 	store     dependency
 	faults    faults
+	bounds    atomic.Pointer[pimento.Bounds] // in force
 	acceptor  *acceptor.Acceptor
 	admitter  *admitter.Admitter
 	messenger *messenger.Messenger
@@ -117,15 +118,14 @@
 
 // assemble makes the parts.
 func (r *Router) assemble() {
+	r.bounds.Store(&r.Bounds)
 	r.metrics = metrics.NewSet()
 	r.events = &recorder.Recorder{Process: r.self.ID, Log: r.Log, OnDropped: func(n pimento.EventNumber) {
 		r.observer.count("relay_log_lines_dropped_total", "Event", int(n))
 	}}
 	r.observer = &observer{events: r.events, metrics: r.metrics, epoch: func() uint64 { return r.leader.Term().Epoch }}
 	r.messenger = &messenger.Messenger{Self: r.self, Handler: (*handler)(r)}
-	r.admitter = &admitter.Admitter{Self: r.self, Peers: r.messenger, Wire: r.UpstreamWire, Bounds: admitter.Bounds{
-		RetryRatio: r.Bounds.RetryRatio, RetrySlack: r.Bounds.RetrySlack, RetryWindow: r.Bounds.RetryWindow,
-	}}
+	r.admitter = &admitter.Admitter{Self: r.self, Peers: r.messenger, Wire: r.UpstreamWire, Bounds: retryBounds(r.Bounds)}
 	r.registrar = &registrar.Registrar{Self: r.self, Peers: r.messenger, Events: r.events}
 	r.follower = &follower{router: r}
 	r.leader = &leader.Leader{
@@ -142,6 +142,19 @@
 	r.gauges()
 }
 
+func retryBounds(b pimento.Bounds) admitter.Bounds {
+	return admitter.Bounds{RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack, RetryWindow: b.RetryWindow}
+}
+
+// SetBounds replaces the bounds of a running process, but for MaxHold.
+func (r *Router) SetBounds(b pimento.Bounds) {
+	r.bounds.Store(&b)
+	r.admitter.SetBounds(retryBounds(b))
+}
+
+// Tell logs an event of the program around the Router.
+func (r *Router) Tell(number pimento.EventNumber, pairs ...any) { r.events.Emit(number, pairs...) }
+
 // listeners are the sockets of a process.
 type listeners struct {
 	peers     net.Listener
--- a/router/serve.go
+++ b/router/serve.go
@@ -113,9 +113,9 @@
 	r.leader.Leave()
 	r.acceptor.Drain()
 	begun := time.Now()
-	time.Sleep(min(leavePause, r.Bounds.Shutdown/3))
+	time.Sleep(min(leavePause, r.bounds.Load().Shutdown/3))
 	r.acceptor.Refuse()
-	end := begun.Add(r.Bounds.Shutdown - endMargin)
+	end := begun.Add(r.bounds.Load().Shutdown - endMargin)
 	quietAt := time.Now()
 	for now := time.Now(); now.Before(end) && now.Sub(quietAt) < lastPause; now = time.Now() {
 		if r.acceptor.Active() > 0 {
