Name the upstream in grants, releases and probes

Cause: the address of an instance that started anew behind a cut, under another ID, got a grant that was meant for the one before; it took the keys with a fence that the other had had. Requests named their upstream, control calls did not.

A call that another upstream answers with 421 counts as not arrived, and its health says nothing. Test: connector TestControlReachesNoOther.

--- a/connector/client_test.go
+++ b/connector/client_test.go
@@ -493,6 +493,35 @@
 	is.Equal(len(s.bodies[0]), 100000)
 }
 
+// TestControlReachesNoOther holds that a grant names its upstream, so that
+// another one that has the address by now does not take the keys, and that such
+// a grant counts as one that never arrived.
+func TestControlReachesNoOther(t *testing.T) {
+	is := is.New(t)
+	s := newScript(t, func(p *peer) {
+		for {
+			req, err := p.next(true)
+			if err != nil {
+				return
+			}
+			status := "200 OK"
+			if target := req.Header.Get("Pimentorelay-Target-Instance"); target != "" && target != "i-2" {
+				status = "421 Misdirected Request"
+			}
+			fmt.Fprintf(p, "HTTP/1.1 %s\r\nPimentorelay-Instance-Id: i-2\r\nContent-Length: 0\r\n\r\n", status)
+		}
+	})
+	client := s.client() // of i-1, whose address i-2 has
+	span := pimento.KeyRange{From: 1, To: 2}
+	var lost *pimento.UnreachableError
+	is.True(errors.As(client.Grant(t.Context(), pimento.KeyGrant{Range: span, Fence: 3, Hold: time.Second}), &lost))
+	is.True(lost.Unsent)
+	_, err := client.Release(t.Context(), span, 4, time.Second)
+	is.True(errors.As(err, &lost))
+	_, _, err = client.Probe(t.Context(), "/healthz")
+	is.True(errors.As(err, &lost)) // the other one's health says nothing
+}
+
 func TestControl(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
--- a/connector/control.go
+++ b/connector/control.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -50,12 +51,28 @@
 	if err != nil {
 		return false, pimento.AnswerMark{}, fmt.Errorf("Client.Probe: %w", err)
 	}
-	return r.status == http.StatusOK, c.Wire.ReadAnswer(r.status, r.header), nil
+	mark = c.Wire.ReadAnswer(r.status, r.header)
+	if mark.Misdirected || mark.Upstream != "" && mark.Upstream != c.Server.Name {
+		return false, mark, c.misdirected()
+	}
+	return r.status == http.StatusOK, mark, nil
+}
+
+// misdirected says that another upstream has the address by now. It has not
+// carried out the call.
+func (c *Client) misdirected() error {
+	return &pimento.UnreachableError{Target: string(c.Server.Name), Cause: errMisdirected, Unsent: true}
 }
 
+// errMisdirected is the cause where an address is another's.
+var errMisdirected = errors.New("the address is another upstream's")
+
 func (c *Client) expect(r reply) error {
-	if r.status == http.StatusOK {
+	switch r.status {
+	case http.StatusOK:
 		return nil
+	case http.StatusMisdirectedRequest:
+		return c.misdirected()
 	}
 	return &pimento.UnreachableError{Target: string(c.Server.Name), Cause: fmt.Errorf("unexpected status %d", r.status)}
 }
@@ -69,7 +86,7 @@
 		return reply{}, &pimento.UnreachableError{Target: string(c.Server.Name), Cause: err, Unsent: true}
 	}
 	stop := context.AfterFunc(ctx, func() { x.Close() })
-	r, keep, err := exchangeControl(x, c.Server.Address.String(), method, path, body)
+	r, keep, err := c.exchangeControl(x, method, path, body)
 	if err != nil || !stop() || !keep {
 		x.Close()
 	} else {
@@ -81,8 +98,8 @@
 	return r, nil
 }
 
-func exchangeControl(x *conn, host, method, path string, body []byte) (reply, bool, error) {
-	req, err := http.NewRequest(method, "http://"+host+path, bytes.NewReader(body))
+func (c *Client) exchangeControl(x *conn, method, path string, body []byte) (reply, bool, error) {
+	req, err := http.NewRequest(method, "http://"+c.Server.Address.String()+path, bytes.NewReader(body))
 	if err != nil {
 		return reply{}, false, err
 	}
@@ -90,6 +107,7 @@
 		req.Header.Set("Content-Type", "application/json")
 	}
 	req.Header["User-Agent"] = nil
+	c.Wire.WriteTarget(req.Header, &c.Server)
 	if err := req.Write(x.w); err != nil {
 		return reply{}, false, err
 	}
--- a/translator/wire.go
+++ b/translator/wire.go
@@ -138,6 +138,11 @@
 	h.Set(pimento.HeaderPlace, strconv.Itoa(int(r.Key)))
 }
 
+// WriteTarget implements pimento.UpstreamWire.
+func (Wire) WriteTarget(h http.Header, to *pimento.Server) {
+	h.Set(pimento.HeaderUpstream, string(to.Name))
+}
+
 // ReadAnswer implements pimento.UpstreamWire. Headers that are for the system
 // are taken away.
 func (Wire) ReadAnswer(status int, h http.Header) pimento.AnswerMark {
--- a/upstreamfaker/keys.go
+++ b/upstreamfaker/keys.go
@@ -78,8 +78,22 @@
 	return s.keys.holds(key, time.Now())
 }
 
+// isMeant reports whether a call names this server or none, and answers it
+// otherwise.
+func (s *Server) isMeant(w http.ResponseWriter, r *http.Request) bool {
+	target := r.Header.Get(s.Dialect.Target)
+	if target == "" || target == string(s.Name) {
+		return true
+	}
+	w.WriteHeader(http.StatusMisdirectedRequest)
+	return false
+}
+
 func (s *Server) handleGrant(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	if !s.isMeant(w, r) {
+		return
+	}
 	o, err := s.Dialect.readOrder(r)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -120,6 +134,9 @@
 // handleRelease ends new work on keys at once, and answers when the work that
 // runs on them has ended.
 func (s *Server) handleRelease(w http.ResponseWriter, r *http.Request) {
+	if !s.isMeant(w, r) {
+		return
+	}
 	o, err := s.Dialect.readOrder(r)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/wire.go
+++ b/wire.go
@@ -53,6 +53,9 @@
 	// WriteRequest sets the header of a request for an upstream that may work
 	// on it for remaining.
 	WriteRequest(h http.Header, r *Request, to *Server, remaining time.Duration)
+	// WriteTarget sets what keeps any other upstream from carrying out a call,
+	// should the address be another's by now.
+	WriteTarget(h http.Header, to *Server)
 	// ReadAnswer reads what an answer says besides the answer itself.
 	ReadAnswer(status int, h http.Header) AnswerMark
 	// Grant returns path and JSON body of the call that grants keys.
