--- /dev/null
+++ b/explainer/explainer_test.go
@@ -0,0 +1,51 @@
+package explainer
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"pimentorelay.example/pimento"
+)
+
+const logText = `
+no event
+   0.1 edge-b {"@timestamp":"2026-02-02T18:00:09.000000Z","Event":4009,"Process":"b","Moves":"books 0-99 to u1 (Orphan); books 100-200 to u2 (Join)"}
+{"@timestamp":"2026-02-02T18:00:09.500000Z","Event":2014,"Process":"a","Version":7}
+{"@timestamp":"2026-02-02T18:00:09.900000Z","Event":5001,"Process":"b","Upstream":"u2"}
+{"@timestamp":"2026-02-02T18:00:09.950000Z","Event":5001,"Process":"b","Upstream":"u9"}
+{"@timestamp":"2026-02-02T18:00:10.300000Z","Event":6001,"Process":"a","Request":"x1","Service":"books","Key":150,"Reason":"Timeout","Tries":"u2 by b (3 of 4 slots) took 1s: Timeout"}
+{"@timestamp":"2026-02-02T18:00:10.100000Z","Event":6004,"Process":"a","Request":"x1","Service":"books","Key":150,"Reason":"Refused"}
+{"@timestamp":"2026-02-02T18:00:10.200000Z","Event":6003,"Process":"a","Request":"x2","Service":"books","Key":1}
+{"@timestamp":"2026-02-02T18:00:11.000000Z","Event":5002,"Process":"b","Upstream":"u2"}
+`
+
+// TestExplain holds that a report has the steps of its request in order, and
+// the latest beliefs of just what the request met.
+func TestExplain(t *testing.T) {
+	is := is.New(t)
+	var l Log
+	is.NoErr(l.Read(strings.NewReader(logText)))
+	is.Equal(l.Skipped, 2)
+	_, ok := l.Explain("x9")
+	is.True(!ok)
+	r, ok := l.Explain("x1")
+	is.True(ok)
+	var numbers []pimento.EventNumber
+	for _, x := range r.Steps {
+		numbers = append(numbers, x.Number)
+	}
+	is.Equal(numbers, []pimento.EventNumber{pimento.EventRequestRepeated, pimento.EventRequestUnknown})
+	numbers = nil
+	for _, x := range r.Beliefs {
+		numbers = append(numbers, x.Number)
+	}
+	is.Equal(numbers, []pimento.EventNumber{pimento.EventKeysMoved, pimento.EventManifestLearned, pimento.EventUpstreamLost})
+	is.Equal(r.Beliefs[2].Fields["Upstream"], "u2")
+
+	var text strings.Builder
+	r.Write(&text)
+	is.True(strings.Contains(text.String(), "400ms  b  5001 upstream lost")) // how old the belief was
+	is.True(!strings.Contains(text.String(), "u9"))
+}
--- a/relay/main.go
+++ b/relay/main.go
@@ -5,6 +5,8 @@
 // # Usage
 //
 //	relay run --host entry-1 --domain ub-bayangol --platform 192.0.2.7:8400
+//	relay serve
+//	relay check node.yaml
 //
 // SIGTERM and SIGINT begin a graceful shutdown.
 package main
@@ -23,7 +25,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newRunCommand(), newServeCommand())
+	root.AddCommand(newRunCommand(), newServeCommand(), newCheckCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "relay:", err)
 		os.Exit(1)
--- a/relay/run.go
+++ b/relay/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"os"
 	"os/signal"
@@ -12,6 +13,7 @@
 
 	"pimentorelay.example/pimento"
 	"pimentorelay.example/pimento/platform"
+	"pimentorelay.example/pimento/recorder"
 	"pimentorelay.example/pimento/router"
 	"pimentorelay.example/pimento/settings"
 	"pimentorelay.example/pimento/surveyor"
@@ -48,10 +50,12 @@
 	LogLevel string
 	LogJSON  bool
 	Token    string
+
+	output *recorder.Writer // for the log
 }
 
 func newRunCommand() *cobra.Command {
-	o := &options{}
+	o := &options{output: &recorder.Writer{To: os.Stderr}}
 	cmd := &cobra.Command{
 		Use:   "run",
 		Short: "Run one entry process",
@@ -62,7 +66,8 @@
 				return err
 			}
 			o.Token = os.Getenv(settings.Prefix + "TOKEN")
-			return o.run(cmd.Context())
+			o.output.Start()
+			return errors.Join(o.run(cmd.Context()), o.output.Close())
 		},
 	}
 	f := cmd.Flags()
@@ -94,7 +99,7 @@
 	}
 	store := &platform.Store{HTTP: platform.NewHTTP(), OnResult: r.StoreResult, Address: parseAddress(v, "--platform", o.Platform)}
 	r.Store, r.Source = store, &surveyor.Surveyor{Store: store}
-	r.Log = hclog.New(&hclog.LoggerOptions{Name: "relay", Level: parseLevel(v, o.LogLevel), JSONFormat: o.LogJSON, Output: os.Stderr})
+	r.Log = hclog.New(&hclog.LoggerOptions{Name: "relay", Level: parseLevel(v, o.LogLevel), JSONFormat: o.LogJSON, Output: o.output})
 	return r, v.Err()
 }
 
--- a/relay/run_test.go
+++ b/relay/run_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -25,3 +27,18 @@
 	is.NoErr(err)
 	is.Equal(n.Domain, pimento.DomainName("d1"))
 }
+
+// TestCheck holds that a settings file is checked without starting anything.
+func TestCheck(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "node.yaml")
+	write(t, path, settingsText)
+	cmd := newCheckCommand()
+	var text strings.Builder
+	cmd.SetOut(&text)
+	cmd.SetArgs([]string{path})
+	is.NoErr(cmd.Execute())
+	is.True(strings.Contains(text.String(), "edge-a-1"))
+	write(t, path, strings.Replace(settingsText, "10.1.0.34:8548", "somewhere", 1))
+	is.True(cmd.Execute() != nil)
+}
--- a/relayctl/main.go
+++ b/relayctl/main.go
@@ -7,6 +7,7 @@
 //	relayctl apply sheet.csv
 //	relayctl status
 //	relayctl timeline
+//	relayctl explain REQUEST LOG...
 //
 // Exit codes: 0 done, 1 failed, 2 wrong usage, 3 the sheet is faulty, 4 the
 // configuration has moved on meanwhile, 5 it cannot be told whether the
@@ -68,7 +69,7 @@
 	f := root.PersistentFlags()
 	f.StringVar(&c.platform, "platform", "127.0.0.1:8400", "IP address and TCP port of the platform's store")
 	f.StringVar(&c.output, "output", outputText, "text or json")
-	root.AddCommand(newCheckCommand(c), newDiffCommand(c), newApplyCommand(c), newStatusCommand(c), newTimelineCommand(c))
+	root.AddCommand(newCheckCommand(c), newDiffCommand(c), newApplyCommand(c), newStatusCommand(c), newTimelineCommand(c), newExplainCommand())
 	return root
 }
 
