--- a/recorder/bucket.go
+++ b/recorder/bucket.go
@@ -41,11 +41,15 @@
 	limit   limit
 	tokens  float64
 	at      time.Time
-	dropped uint64 // since the last line that was let through
+	dropped uint64    // since the last time that this was told
+	toldAt  time.Time // when it was
 }
 
+// tellPause is the least time between two lines about lines that were left out.
+const tellPause = time.Second
+
 // take reports whether a line may be written now, and how many were dropped
-// before it.
+// before it, if that is to be told now.
 func (b *bucket) take(now time.Time) (ok bool, dropped uint64) {
 	b.tokens = min(b.limit.burst, b.tokens+now.Sub(b.at).Seconds()*b.limit.perSecond)
 	b.at = now
@@ -54,6 +58,9 @@
 		return false, 0
 	}
 	b.tokens--
-	dropped, b.dropped = b.dropped, 0
+	if now.Sub(b.toldAt) < tellPause {
+		return true, 0
+	}
+	dropped, b.dropped, b.toldAt = b.dropped, 0, now
 	return true, dropped
 }
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -42,6 +42,14 @@
 	ok, n := b.take(at.Add(time.Second))
 	is.True(ok)
 	is.Equal(n, uint64(1)) // that many are said to be missing
+	_, n = b.take(at.Add(time.Second + time.Millisecond))
+	for range int(answeredLimit.perSecond) {
+		b.take(at.Add(time.Second + 2*time.Millisecond))
+	}
+	_, n = b.take(at.Add(1500 * time.Millisecond))
+	is.Equal(n, uint64(0)) // once a second at most
+	_, n = b.take(at.Add(2100 * time.Millisecond))
+	is.True(n > 0)
 }
 
 // stuck is a pipe that nobody reads.
