--- a/doc.go
+++ b/doc.go
@@ -1,30 +1,32 @@
 // Package pimento holds the domain of pimentorelay, a router for upstreams
 // that own keys exclusively.
 //
-// The package defines the nouns that every other package speaks about: the
-// configuration that operators accept ([Config]), the decisions that are in
-// force ([Plan]), the processes that carry them out ([Process]), the requests
-// of callers ([RequestHead]) and how each ended ([Outcome]). It also holds the
-// interfaces for what varies: [Platform], the object API that keeps what must
-// last, and [Upstream], one server that owns keys.
+// The package defines the nouns that every other package speaks about: what
+// operators put in force ([Manifest], and [Config] where a sheet describes it),
+// the decisions that stand in the store ([Assignment]), the processes that
+// carry them out ([Process]), the upstreams ([Server]), the requests of callers
+// ([Request]) and how each ended ([Outcome]). It also holds the interfaces for
+// what varies: [Store], which keeps what must last, [Source], which reads what
+// operators and upstreams wrote, and the wires to callers and upstreams
+// ([CallerWire], [UpstreamWire]).
 //
-// # Decisions and rights
+// # Decisions
 //
-// A [Plan] is one object in the platform, replaced by conditional writes. Its
-// Epoch grows by one with each write. A plan names for every key range (a
-// [Slice]) an ordered list of owners, and for every upstream an ordered list
-// of dispatchers, the processes that alone may speak to it. The first pair
-// that is not withdrawn has the right to the slice. Package confirmer decides
-// when a process has authority, package claimer when a right may be used.
+// An [Assignment] is one entry of the store, replaced by conditional writes. Its
+// [Term] says who leads. Its tables say for every range of keys which run of an
+// upstream holds it, with a fence that only grows, and which one held it before
+// as long as that one may still do so. Its pools say which processes dispatch.
+// Package elector decides whether a leader may act, package keeper when a range
+// may be granted.
 //
 // # Usage
 //
-//	plan := pimento.Plan{...}
-//	if err := plan.Validate(); err != nil {
+//	routes := pimento.NewRouteTable(manifest.Routes)
+//	route, ok := routes.Match("jepu9.example", "/lepu270/2f")
+//	if err := assignment.Validate(); err != nil {
 //		return err
 //	}
-//	hash := pimento.HashKey("soum-17")
-//	slice, ok := plan.Lookup("guidebook", hash)
+//	holding := assignment.Table("guidebook").Holdings[table.Index(key)]
 //
 // All fields are written in Pascal case in every format of the project, the
 // way they are named here. Times on a wire between processes are remaining
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -163,7 +163,8 @@
 		named := x.Process == step.Process || strings.Contains(tries, string(x.Process))
 		switch subject {
 		case "upstream", "grant", "release":
-			if strings.Contains(tries, x.Fields["Upstream"]) || hasKey(x.Fields["Keys"], step.Fields["Key"]) {
+			ofKey := x.Fields["Service"] == step.Fields["Service"] && hasKey(x.Fields["Keys"], step.Fields["Key"])
+			if ofKey || strings.Contains(tries, x.Fields["Upstream"]) {
 				return subject + " " + x.Fields["Upstream"], true
 			}
 		case "keys":
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -15,6 +15,7 @@
 {"@timestamp":"2026-02-02T18:00:09.500000Z","Event":2014,"Process":"a","Version":7}
 {"@timestamp":"2026-02-02T18:00:09.900000Z","Event":5001,"Process":"b","Upstream":"u2"}
 {"@timestamp":"2026-02-02T18:00:09.950000Z","Event":5001,"Process":"b","Upstream":"u9"}
+{"@timestamp":"2026-02-02T18:00:09.960000Z","Event":4008,"Process":"b","Service":"others","Keys":"100-200","Upstream":"u9"}
 {"@timestamp":"2026-02-02T18:00:10.300000Z","Event":6001,"Process":"a","Request":"x1","Service":"books","Key":150,"Reason":"Timeout","Tries":"u2 by b (3 of 4 slots) took 1s: Timeout"}
 {"@timestamp":"2026-02-02T18:00:10.100000Z","Event":6004,"Process":"a","Request":"x1","Service":"books","Key":150,"Reason":"Refused"}
 {"@timestamp":"2026-02-02T18:00:10.200000Z","Event":6003,"Process":"a","Request":"x2","Service":"books","Key":1}
--- a/keeper/machine_test.go
+++ b/keeper/machine_test.go
@@ -191,6 +191,37 @@
 	is.Equal(len(w.step()), 1)
 }
 
+// TestGrantWithoutAnswer holds that keys wait for a grant of their former holder
+// whose answer has not come, and longer if its answer says late that it may have
+// arrived only now.
+func TestGrantWithoutAnswer(t *testing.T) {
+	for name, late := range map[string]time.Duration{"none": 0, "late": 3 * DefaultTiming(time.Minute).Answer} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld()
+			w.adopt(held(all, runA, 1))
+			w.grantAll(is)
+			w.wait(w.m.timing.Renew)
+			onItsWay := w.step()
+			is.True(w.m.Sending(w.now, onItsWay[0]))
+			sentAt := w.now
+			w.unknown = []pimento.Run{runA}
+			w.adopt(moved(all, runA, runB, 2))
+			arrival := w.now.Add(w.m.timing.Answer)
+			if late > 0 {
+				w.wait(late)
+				w.m.Granted(w.now, sentAt, onItsWay[0], ResultUnknown)
+				arrival = w.now
+			}
+			for end := arrival.Add(w.m.timing.Hold); w.now.Before(end); w.wait(20 * time.Millisecond) {
+				is.Equal(len(w.step()), 0)
+			}
+			w.wait(w.m.timing.Hold)
+			is.Equal(len(w.step()), 1)
+		})
+	}
+}
+
 // TestGrantThatWaitedIsNotSent holds that a grant that waited behind another
 // one is dropped if its keys have gone on meanwhile.
 func TestGrantThatWaitedIsNotSent(t *testing.T) {
--- a/leader/grants.go
+++ b/leader/grants.go
@@ -80,7 +80,7 @@
 			q.granting = false
 			l.keeper.Granted(timekeeper.Now(), sentAt, c, result)
 			if result != keeper.ResultAccepted {
-				l.Events.Emit(pimento.EventGrantFailed, "Upstream", c.Run.Upstream, "Keys", c.Grant.Range, "Fence", c.Grant.Fence, "Result", result)
+				l.Events.Emit(pimento.EventGrantFailed, "Service", c.Service, "Upstream", c.Run.Upstream, "Keys", c.Grant.Range, "Fence", c.Grant.Fence, "Result", result)
 			}
 			l.pump(q)
 		})
@@ -117,7 +117,7 @@
 		l.postTerm(t, func() {
 			q.releasing--
 			l.keeper.Released(timekeeper.Now(), c, handover, err == nil)
-			l.Events.Emit(pimento.EventReleased, "Upstream", c.Run.Upstream, "Keys", c.Grant.Range, "Fence", c.Grant.Fence,
+			l.Events.Emit(pimento.EventReleased, "Service", c.Service, "Upstream", c.Run.Upstream, "Keys", c.Grant.Range, "Fence", c.Grant.Fence,
 				"Took", time.Since(startedAt).Round(time.Millisecond), "Handover", handover != "", "Error", errText(err))
 			l.pump(q)
 		})
