Tell the speed of upstreams from the noise of their machines, and test plans

Causes, found in the logs of an incident (expected against measured times): - the slowness that upstreams report in each answer was kept and never used, so a moment's noise counted as the upstream's own speed: in the lower three fifths of the expectations (6 to 246 ms) the measured mean was the same 220 ms; - routes with next to no work (the operators' tests of manifests, 3 ms) told as much of a speed as others, which gave expectations of 6 ms for work of 220; - requests with less time left than their work takes got slots that others could have used: one arrived 25 ms before its deadline for 60 ms of work.

--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -29,6 +29,10 @@
 	noiseShare  = 0.2
 	noiseFactor = 3
 	noiseSpell  = 400 * time.Millisecond
+	// tinyPart is the part of the usual work of requests with next to none, on
+	// tinyRoutes routes.
+	tinyPart   = 60
+	tinyRoutes = 8
 )
 
 // profile is what callers and upstreams of a deployment are like.
@@ -53,6 +57,8 @@
 	name     string
 	rate     func(at time.Duration) float64 // as a part of the capacity
 	noisy    bool
+	tells    bool    // answers say how slow their upstream is now
+	tiny     float64 // share of requests of routes with next to no work
 	keyed    bool
 	hotShare float64 // of the requests that are for one upstream's keys
 	slow     float64 // factor of the first two upstreams, from 5 s to 12 s
@@ -90,6 +96,11 @@
 	{name: "repeats at once", rate: burst(0.7, 1.5), abuse: 0.3},
 	{name: "cold upstreams", rate: steady(0.6), cold: true},
 	{name: "hot keys", rate: steady(0.5), keyed: true, hotShare: 0.3},
+	{name: "noisy and told", rate: steady(0.45), noisy: true, tells: true},
+	{name: "noisy burst and told", rate: burst(0.4, 1.0), noisy: true, tells: true},
+	{name: "noisy keys and told", rate: steady(0.3), noisy: true, tells: true, keyed: true},
+	{name: "tiny requests among others", rate: steady(0.7), tiny: 0.1},
+	{name: "tiny requests in noise", rate: burst(0.4, 0.8), tiny: 0.1, noisy: true, tells: true},
 	{name: "noisy", rate: steady(0.45), noisy: true},
 	{name: "noisy burst", rate: burst(0.4, 1.0), noisy: true},
 	{name: "noisy keys", rate: steady(0.25), noisy: true, keyed: true},
@@ -115,6 +126,7 @@
 	abuser   bool
 	key      pimento.Key
 	work     time.Duration
+	route    pimento.RouteName
 	upstream *modelUpstream
 	started  time.Duration
 	ended    bool
@@ -138,6 +150,14 @@
 	downTo  time.Duration
 }
 
+// slowness returns how long work takes there now, 1 as usual.
+func (u *modelUpstream) slowness() float64 {
+	if u.noisy {
+		return noiseFactor
+	}
+	return 1
+}
+
 // event is something that happens at a time.
 type event struct {
 	at time.Duration
@@ -261,6 +281,11 @@
 	f := m.profile
 	own := rand.New(rand.NewPCG(m.seed, uint64(c.caller)<<8|uint64(c.tries)))
 	c.work = time.Duration(float64(f.work) * math.Exp(own.NormFloat64()*f.spread-f.spread*f.spread/2))
+	c.route = modelRoute
+	if own.Float64() < m.pattern.tiny {
+		c.work /= tinyPart
+		c.route = pimento.RouteName(fmt.Sprintf("tiny%d", c.caller%tinyRoutes))
+	}
 	m.policy.offer(m, c)
 }
 
@@ -308,9 +333,7 @@
 	if m.now < u.coldTo {
 		f *= 2
 	}
-	if u.noisy {
-		f *= noiseFactor
-	}
+	f *= u.slowness()
 	d := time.Duration(float64(c.work) * f)
 	kind := ResultAnswered
 	if m.pattern.fails > 0 && u.index < 2 && m.troubled() && m.rng.Float64() < m.pattern.fails {
@@ -416,7 +439,7 @@
 func (p *pooled) offer(m *model, c *call) {
 	p.calls[c.id] = c
 	p.carry(m, p.pool.Offer(m.time(), Ticket{
-		ID: c.id, Route: modelRoute, Key: c.key, Arrived: m.time(),
+		ID: c.id, Route: c.route, Key: c.key, Arrived: m.time(),
 		GoalAt: epoch.Add(m.goal(c)), Deadline: epoch.Add(m.limit(c)), Repeat: c.repeats > 0,
 	}))
 }
@@ -439,7 +462,11 @@
 
 func (p *pooled) done(m *model, c *call, kind ResultKind, took time.Duration) {
 	delete(p.calls, c.id)
-	list := p.pool.Done(m.time(), c.id, Result{Kind: kind, Took: took})
+	result := Result{Kind: kind, Took: took}
+	if m.pattern.tells && kind == ResultAnswered {
+		result.HasLoad, result.Load.Slowness = true, c.upstream.slowness()
+	}
+	list := p.pool.Done(m.time(), c.id, result)
 	switch {
 	case kind == ResultAnswered:
 		m.answered(c)
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -99,8 +99,7 @@
 	usual   speed // over a longer time
 	health  health
 	cold    cold
-	load    pimento.LoadReport
-	loadAt  time.Time
+	noise   noise
 	timely  rate // requests for its keys that meet their goal
 }
 
@@ -109,6 +108,7 @@
 	ticket   Ticket
 	upstream *upstream
 	since    time.Time
+	noise    float64 // of the upstream when the request was sent
 }
 
 // Pool is the state of one pool. It is not safe for concurrent use.
@@ -123,6 +123,8 @@
 	budget    budget
 	timely    rate   // requests that meet their goal
 	draws     uint64 // for spreading returns
+	// meanSlowness is the mean of what upstreams report; zero: nothing yet.
+	meanSlowness float64
 }
 
 // New returns a pool without upstreams.
@@ -238,7 +240,7 @@
 
 // start notes that a request goes to an upstream.
 func (p *Pool) start(now time.Time, t *Ticket, u *upstream) {
-	r := &running{ticket: *t, upstream: u, since: now}
+	r := &running{ticket: *t, upstream: u, since: now, noise: u.noise.value(now)}
 	p.running[t.ID] = r
 	u.running[t.ID] = r
 	u.cold.sent(now)
--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -41,6 +41,9 @@
 	workShare  = 0.05
 	speedShare = 0.15
 	usualShare = 0.02
+	// minCount is how many requests of a route must have been measured before
+	// they tell something of an upstream's speed.
+	minCount = 5
 	// maxFactor bounds how slow an upstream is believed to be.
 	maxFactor = 40
 	// minFactor bounds how fast an upstream is believed to be.
@@ -82,10 +85,12 @@
 	return s.factor
 }
 
-func (s *speed) add(f, share float64) {
+// add takes in a measurement with its share of the mean, less where its weight
+// is below 1.
+func (s *speed) add(f, share, weight float64) {
 	f = min(max(f, minFactor), maxFactor)
 	s.count++
-	share = max(share, 1/float64(s.count+1))
+	share = weight * max(share, 1/float64(s.count+1))
 	s.factor = s.value()*(1-share) + share*f
 }
 
@@ -117,7 +122,7 @@
 // expected returns how long a request would take at an upstream. Work that
 // already takes longer than usual shows a slow upstream before its answers do.
 func (p *Pool) expected(now time.Time, t *Ticket, u *upstream) time.Duration {
-	f := u.speed.value()
+	f := u.speed.value() * u.noise.value(now)
 	for _, r := range u.running {
 		usual := p.workOf(r.ticket.Route)
 		if age := now.Sub(r.since); usual > 0 && age > usual*agedFactor {
@@ -138,8 +143,10 @@
 func (p *Pool) learn(now time.Time, r *running, result Result) {
 	u := r.upstream
 	u.health.note(now, result.Kind)
-	if result.HasLoad {
-		u.load, u.loadAt = result.Load, now
+	noise := r.noise
+	if result.HasLoad && result.Load.Slowness > 0 {
+		u.noise.take(now, p.relative(result.Load.Slowness))
+		noise = (r.noise + u.noise.slowness) / 2
 	}
 	if result.ColdFor > 0 {
 		u.cold.until = later(u.cold.until, now.Add(result.ColdFor))
@@ -152,10 +159,11 @@
 		w = &work{}
 		p.works[r.ticket.Route] = w
 	}
-	if w.count > 0 && !now.Before(u.cold.until) {
-		f := float64(result.Took) / float64(w.mean)
-		u.speed.add(f, speedShare)
-		u.usual.add(f, usualShare)
+	if w.count >= minCount && !now.Before(u.cold.until) {
+		f := float64(result.Took) / float64(w.mean) / noise
+		weight := min(1, float64(w.mean)/float64(p.work.mean))
+		u.speed.add(f, speedShare, weight)
+		u.usual.add(f, usualShare, weight)
 	}
 	// Not divided by the upstream's factor: work and factors together would
 	// have no scale, and drift.
--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -30,6 +30,9 @@
 	// moveWait is how long a key may be without a ready owner while its
 	// requests wait.
 	moveWait = 400 * time.Millisecond
+	// doomedShare is the part of its usual work that a request must have time
+	// for while others wait that could use the slot better.
+	doomedShare = 0.7
 	// servedMargin is how much before its deadline a request must be expected
 	// to be answered.
 	servedMargin = 20 * time.Millisecond
@@ -112,8 +115,13 @@
 // expire refuses requests that cannot be answered before their deadline.
 func (p *Pool) expire(now time.Time) []Decision {
 	var out []Decision
+	contended := len(p.waiting) > 1
 	p.waiting = slices.DeleteFunc(p.waiting, func(t *Ticket) bool {
-		if now.Add(servedMargin).Before(t.Deadline) {
+		margin := servedMargin
+		if contended {
+			margin = max(margin, scale(p.workOf(t.Route), doomedShare))
+		}
+		if now.Add(margin).Before(t.Deadline) {
 			return false
 		}
 		out = append(out, Decision{Ticket: t.ID, Refusal: p.refuse(now, 0, "no upstream had room before the deadline")})
