--- a/request.go
+++ b/request.go
@@ -20,21 +20,17 @@
 
 // The reasons. docs/EVENTS.md tells operators what to do about each.
 const (
-	ReasonNoRoute       Reason = "NoRoute"
-	ReasonBadRequest    Reason = "BadRequest"
-	ReasonNoOwner       Reason = "NoOwner"
-	ReasonNotHolder     Reason = "NotHolder"
-	ReasonNoAuthority   Reason = "NoAuthority"
-	ReasonPeerLost      Reason = "PeerLost"
-	ReasonUpstreamLost  Reason = "UpstreamLost"
-	ReasonRefused       Reason = "Refused"
-	ReasonQueueFull     Reason = "QueueFull"
-	ReasonTimeout       Reason = "Timeout"
-	ReasonRecordLost    Reason = "RecordLost"
-	ReasonAnswerNotKept Reason = "AnswerNotKept"
-	ReasonBodyCut       Reason = "BodyCut"
-	ReasonWrongAnswer   Reason = "WrongAnswer"
-
+	ReasonNoRoute        Reason = "NoRoute"
+	ReasonBadRequest     Reason = "BadRequest"
+	ReasonNoOwner        Reason = "NoOwner"
+	ReasonPeerLost       Reason = "PeerLost"
+	ReasonUpstreamLost   Reason = "UpstreamLost"
+	ReasonRefused        Reason = "Refused"
+	ReasonTimeout        Reason = "Timeout"
+	ReasonRecordLost     Reason = "RecordLost"
+	ReasonAnswerNotKept  Reason = "AnswerNotKept"
+	ReasonBodyCut        Reason = "BodyCut"
+	ReasonWrongAnswer    Reason = "WrongAnswer"
 	ReasonNoManifest     Reason = "NoManifest"
 	ReasonHeaderTooLarge Reason = "HeaderTooLarge"
 	ReasonBodyTooLarge   Reason = "BodyTooLarge"
@@ -42,7 +38,6 @@
 	ReasonCallerGone     Reason = "CallerGone"
 	ReasonMisdirected    Reason = "Misdirected"
 	ReasonOverloaded     Reason = "Overloaded"
-	ReasonShutdown       Reason = "Shutdown"
 	ReasonRetryBudget    Reason = "RetryBudget"
 )
 
