--- /dev/null
+++ b/leader/registry_test.go
@@ -0,0 +1,94 @@
+package leader
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pimentorelay.example/pimento"
+)
+
+func entry(name, address string, started time.Time) pimento.Server {
+	return pimento.Server{
+		Name: pimento.UpstreamName(name), Service: "s", Domain: "d1", State: pimento.StateArriving,
+		Address: netip.MustParseAddrPort(address), Started: started, Slots: 4,
+	}
+}
+
+// TestEntriesThatLapse holds that upstreams whose entries are missing right after
+// the store was away are waited for, and no longer, and that a missing entry
+// counts at once otherwise.
+func TestEntriesThatLapse(t *testing.T) {
+	t0 := time.Unix(1_800_000_000, 0)
+	a, b := entry("a", "10.0.0.1:1", t0), entry("b", "10.0.0.2:1", t0)
+	c := entry("c", "10.0.0.2:1", t0.Add(time.Hour)) // has b's address
+	at := func(s float64) time.Time { return t0.Add(time.Duration(s * float64(time.Second))) }
+	for _, x := range []struct {
+		name  string
+		now   float64 // of the second reading; the first is at zero
+		list  []pimento.Server
+		later float64 // of a third reading of the same; zero: none
+		known []string
+	}{
+		{"removed in calm times", 0.5, []pimento.Server{a}, 0, []string{"a"}},
+		{"missing after an outage", 5, []pimento.Server{a}, 0, []string{"a", "b"}},
+		{"still missing", 5, []pimento.Server{a}, 8, []string{"a"}},
+		{"all missing", 5, nil, 0, []string{"a", "b"}},
+		{"its address is another's", 5, []pimento.Server{a, c}, 0, []string{"a", "c"}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			is := is.New(t)
+			var r registry
+			r.setOut(t0, nil, nil)
+			r.take(at(0), at(0), []pimento.Server{a, b})
+			r.take(at(x.now), at(x.now), x.list)
+			if x.later > 0 {
+				for s := x.now + 0.4; s <= x.later; s += 0.4 {
+					r.take(at(s), at(s), x.list)
+				}
+			}
+			var names []string
+			for _, s := range r.list() {
+				names = append(names, string(s.Name))
+			}
+			is.Equal(names, x.known)
+		})
+	}
+}
+
+// TestNothingIsToldEarly holds that members hear of upstreams only once it is
+// known which failure domains are out, and that a domain that comes back is
+// cold.
+func TestNothingIsToldEarly(t *testing.T) {
+	is := is.New(t)
+	t0 := time.Unix(1_800_000_000, 0)
+	var r registry
+	r.take(t0, t0, []pimento.Server{entry("a", "10.0.0.1:1", t0.Add(-time.Hour))})
+	is.Equal(r.version, uint64(0))
+	cold := func(pimento.ServiceName) time.Duration { return 3 * time.Second }
+	r.setOut(t0, []pimento.DomainName{"d1"}, cold)
+	is.Equal(r.version, uint64(1))
+	is.True(!r.usable(r.list()[0]))
+	r.setOut(t0.Add(time.Second), nil, cold)
+	is.True(r.usable(r.list()[0]))
+	is.Equal(r.list()[0].WarmAt, t0.Add(4*time.Second))
+	is.Equal(r.version, uint64(2))
+	r.setOut(t0.Add(2*time.Second), nil, cold)
+	is.Equal(r.version, uint64(2)) // nothing new
+}
+
+// TestRestart holds that a run has ended once its upstream has started again,
+// under its old name too.
+func TestRestart(t *testing.T) {
+	is := is.New(t)
+	t0 := time.Unix(1_800_000_000, 0)
+	var r registry
+	r.take(t0, t0, []pimento.Server{entry("a", "10.0.0.1:1", t0)})
+	old := pimento.Run{Upstream: "a", Started: t0}
+	is.True(!r.ended(old))
+	r.take(t0, t0, []pimento.Server{entry("a", "10.0.0.1:1", t0.Add(time.Minute))})
+	is.True(r.ended(old))
+	is.True(!r.ended(pimento.Run{Upstream: "a", Started: t0.Add(time.Minute)}))
+}
