--- a/assembler/deployment.go
+++ b/assembler/deployment.go
@@ -51,6 +51,11 @@
 	Work    time.Duration  // how long a request occupies a slot
 	Warm    bool           // upstreams do not start cold
 	Log     hclog.Logger
+	// Outside means that entry processes are started elsewhere.
+	Outside bool
+	// Front returns what stands before the address of a stand-in, such as a
+	// proxy; nil: nothing does.
+	Front func(netip.AddrPort) (netip.AddrPort, error)
 
 	Store     *storefaker.Server
 	Upstreams map[pimento.UpstreamName]*upstreamfaker.Server
@@ -86,6 +91,9 @@
 	if err := d.startUpstreams(); err != nil {
 		return fmt.Errorf("Deployment.Start: %w", err)
 	}
+	if d.Outside {
+		return nil
+	}
 	for i := range d.Entries {
 		if _, err := d.StartEntry(d.domain(i)); err != nil {
 			return fmt.Errorf("Deployment.Start: %w", err)
@@ -120,6 +128,9 @@
 		}
 		faker.Start()
 		address, err := d.serve(faker.HTTP())
+		if err == nil && d.Front != nil {
+			address, err = d.Front(address)
+		}
 		if err != nil {
 			return err
 		}
@@ -158,6 +169,9 @@
 	return e, nil
 }
 
+// StoreAddress returns where the store's stand-in listens.
+func (d *Deployment) StoreAddress() netip.AddrPort { return d.address }
+
 // Client returns a client of the store.
 func (d *Deployment) Client() pimento.Store {
 	return &platform.Store{Address: d.address, HTTP: platform.NewHTTP()}
