Find out that an upstream has started again before it is sent what it cannot bear

Its kept connections end with the former run, so one that was closed early is the sign: a grant then waits for its health, and a request asks for it once and tells the dispatcher how long the upstream stays cold. Tests: connector TestRestartIsNotGranted, TestColdAgain; both fail without the change.

Ruled out: refused calls count as arrivals (the stand-in does not count them).

--- a/admitter/runs.go
+++ b/admitter/runs.go
@@ -32,7 +32,8 @@
 	defer a.mu.Unlock()
 	r, ok := a.runs[key]
 	if !ok {
-		r = &run{client: &connector.Client{Server: s, Wire: a.Wire}}
+		service, _ := a.board.Service(s.Service)
+		r = &run{client: &connector.Client{Server: s, Wire: a.Wire, HealthPath: service.HealthPath}}
 		a.runs[key] = r
 	}
 	r.usedAt = now
--- a/connector/client.go
+++ b/connector/client.go
@@ -61,12 +61,16 @@
 type Client struct {
 	Server pimento.Server
 	Wire   pimento.UpstreamWire
+	// HealthPath is where the upstream tells its health; empty: nowhere.
+	HealthPath string
 	// OnDial is told of every new connection; it may be nil.
 	OnDial func()
 
-	mu     sync.Mutex
-	idle   []*conn
-	closed bool
+	mu       sync.Mutex
+	idle     []*conn
+	closed   bool
+	closedAt time.Time // when the upstream was last found to have closed a kept connection early
+	askedAt  time.Time // when a request last had it asked for its health
 }
 
 // conn is one connection.
@@ -102,11 +106,37 @@
 		x := c.idle[n-1]
 		c.idle = c.idle[:n-1]
 		c.mu.Unlock()
-		if now.Before(x.expires) && x.r.Buffered() == 0 && quiet(x.Conn) {
+		fresh := now.Before(x.expires)
+		if fresh && x.r.Buffered() == 0 && quiet(x.Conn) {
 			return x
 		}
+		if fresh {
+			c.mu.Lock()
+			c.closedAt = now
+			c.mu.Unlock()
+		}
+		x.Close()
+	}
+}
+
+// prune drops the unused connections that the upstream has closed, and returns
+// when it was last found to have closed one early.
+func (c *Client) prune(now time.Time) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var kept []*conn
+	for _, x := range c.idle {
+		if quiet(x.Conn) {
+			kept = append(kept, x)
+			continue
+		}
+		if now.Before(x.expires) {
+			c.closedAt = now
+		}
 		x.Close()
 	}
+	c.idle = kept
+	return c.closedAt
 }
 
 // put keeps a connection after a whole exchange.
@@ -157,6 +187,9 @@
 // Serve sends a request and returns its answer. When ctx ends, the connection
 // is closed, which cancels the request at the upstream.
 func (c *Client) Serve(ctx context.Context, r *pimento.Request, body io.Reader) (pimento.Answer, pimento.AnswerMark, error) {
+	if mark, cold := c.isColdAgain(ctx); cold {
+		return pimento.Answer{}, mark, pimento.NotRun(pimento.ReasonRefused, errRestarted.Error())
+	}
 	x, err := c.get(ctx, false)
 	if err != nil {
 		return pimento.Answer{}, pimento.AnswerMark{}, pimento.NotRun(pimento.ReasonUpstreamLost, err.Error())
--- a/connector/client_test.go
+++ b/connector/client_test.go
@@ -522,6 +522,81 @@
 	is.True(errors.As(err, &lost)) // the other one's health says nothing
 }
 
+// TestRestartIsNotGranted holds that an upstream that closed a kept connection is
+// asked for its health before a grant is renewed: one that is cold has started
+// again and must not get the keys of its former run. After a while the store has
+// shown what has happened, and the grant goes out.
+func TestRestartIsNotGranted(t *testing.T) {
+	for name, cold := range map[string]string{"started again": "Pimentorelay-Warmup-Ms: 2500\r\n", "closed it only": ""} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			answer := func(p *peer, header string) bool {
+				_, err := p.next(true)
+				fmt.Fprintf(p, "HTTP/1.1 200 OK\r\nPimentorelay-Instance-Id: i-1\r\n%sContent-Length: 0\r\n\r\n", header)
+				return err == nil
+			}
+			s := newScript(t, func(p *peer) {
+				answer(p, "")
+				p.Close()
+			}, func(p *peer) {
+				for answer(p, cold) {
+				}
+			})
+			client := s.client()
+			client.HealthPath = "/healthz"
+			g := pimento.KeyGrant{Range: pimento.KeyRange{From: 1, To: 2}, Fence: 3, Hold: time.Second}
+			is.NoErr(client.Grant(t.Context(), g))
+			time.Sleep(30 * time.Millisecond)
+			err := client.Grant(t.Context(), g)
+			seen := s.seen()
+			is.Equal(seen[1], "GET /healthz ")
+			if cold == "" {
+				is.NoErr(err)
+				is.Equal(len(seen), 3)
+				return
+			}
+			var lost *pimento.UnreachableError
+			is.True(errors.As(err, &lost))
+			is.True(lost.Unsent)
+			is.Equal(len(seen), 2) // the grant was not sent
+			client.closedAt = time.Now().Add(-2 * suspectFor)
+			is.NoErr(client.Grant(t.Context(), g))
+		})
+	}
+}
+
+// TestColdAgain holds that a request does not go to an upstream that has started
+// again and is cold before its dispatcher knows, and that it is asked once only.
+func TestColdAgain(t *testing.T) {
+	is := is.New(t)
+	answer := func(p *peer) bool {
+		req, err := p.next(true)
+		if err != nil {
+			return false
+		}
+		p.say(req.Header.Get("Pimentorelay-Attempt-Id"), "x", "Pimentorelay-Instance-Id: i-1", "Pimentorelay-Warmup-Ms: 2500")
+		return true
+	}
+	s := newScript(t, func(p *peer) {
+		answer(p)
+		p.Close()
+	}, func(p *peer) {
+		for answer(p) {
+		}
+	})
+	client := s.client()
+	client.HealthPath = "/healthz"
+	_, _, err := do(client, "1", "POST", "body")
+	is.NoErr(err)
+	time.Sleep(30 * time.Millisecond)
+	_, mark, err := do(client, "2", "POST", "body")
+	is.Equal(outcome(err), pimento.OutcomeNotRun)
+	is.Equal(mark.ColdFor, 2500*time.Millisecond) // what its dispatcher is told
+	_, _, err = do(client, "3", "POST", "body")
+	is.NoErr(err)
+	is.Equal(s.seen(), []string{"POST /a/b?c=d%20e 1", "GET /healthz ", "POST /a/b?c=d%20e 3"})
+}
+
 func TestControl(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
--- a/connector/control.go
+++ b/connector/control.go
@@ -23,6 +23,9 @@
 // *pimento.UnreachableError if no answer came; then the grant may take effect
 // up to now or later.
 func (c *Client) Grant(ctx context.Context, g pimento.KeyGrant) error {
+	if err := c.checkRun(ctx); err != nil {
+		return fmt.Errorf("Client.Grant: %w", err)
+	}
 	path, body := c.Wire.Grant(g)
 	r, err := c.control(ctx, http.MethodPost, path, body, controlTimeout)
 	if err != nil {
@@ -34,6 +37,65 @@
 	return c.expect(r)
 }
 
+// suspectFor is how long an upstream that closed a kept connection may have
+// started again without the store having shown it.
+const suspectFor = time.Second
+
+// checkRun asks an upstream that has closed a kept connection early whether it is
+// cold. If so it has probably started again, and a grant that was meant for its
+// former run must not reach it: it would hold keys that it knows nothing of, and
+// get as many requests as before.
+func (c *Client) checkRun(ctx context.Context) error {
+	if c.HealthPath == "" {
+		return nil
+	}
+	if time.Since(c.prune(time.Now())) > suspectFor {
+		return nil
+	}
+	_, mark, err := c.Probe(ctx, c.HealthPath)
+	if err != nil {
+		return &pimento.UnreachableError{Target: string(c.Server.Name), Cause: err, Unsent: true}
+	}
+	if mark.ColdFor > 0 {
+		return &pimento.UnreachableError{Target: string(c.Server.Name), Cause: errRestarted, Unsent: true}
+	}
+	c.mu.Lock()
+	c.closedAt = time.Time{}
+	c.mu.Unlock()
+	return nil
+}
+
+// askTimeout bounds the question before a request. One that is not answered by
+// then is sent: it waits there no longer than here.
+const askTimeout = 100 * time.Millisecond
+
+// isColdAgain asks an upstream that has closed a kept connection early, once,
+// whether it is cold. If so its dispatcher does not know it yet, and is told by
+// the mark: until then it lets as many requests go there as before.
+func (c *Client) isColdAgain(ctx context.Context) (pimento.AnswerMark, bool) {
+	if c.HealthPath == "" {
+		return pimento.AnswerMark{}, false
+	}
+	now := time.Now()
+	closedAt := c.prune(now)
+	c.mu.Lock()
+	due := closedAt.After(c.askedAt) && now.Sub(closedAt) < suspectFor
+	if due {
+		c.askedAt = now
+	}
+	c.mu.Unlock()
+	if !due {
+		return pimento.AnswerMark{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	_, mark, err := c.Probe(ctx, c.HealthPath)
+	return mark, err == nil && mark.ColdFor > 0
+}
+
+// errRestarted is the cause where an upstream has probably started again.
+var errRestarted = errors.New("the upstream has closed its connection and is cold")
+
 // Release takes keys back. It waits until the work that runs on them has
 // ended, or ctx ends, and returns the handover for their next holder.
 func (c *Client) Release(ctx context.Context, span pimento.KeyRange, fence uint64, wait time.Duration) (string, error) {
--- a/soak/check.go
+++ b/soak/check.go
@@ -24,8 +24,11 @@
 	if err := s.deployment.CheckRuns(stream.OrderOutcomes()); err != nil {
 		faults = append(faults, err)
 	}
-	if n := s.deployment.FellOver(); n > 0 {
-		faults = append(faults, fmt.Errorf("cold upstreams got more than they bear %d times", n))
+	for name, u := range s.deployment.Upstreams {
+		if r := u.Report(); r.FellOver > 0 {
+			faults = append(faults, fmt.Errorf("%s was cold and got more than it bears %d times; it last started at %s",
+				name, r.FellOver, r.Started.Format("05.000")))
+		}
 	}
 	return errors.Join(append(faults, s.checkOwners()...)...)
 }
