--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -103,7 +103,7 @@
 	}
 	x := c.exchange(req, arrived, limits)
 	if x.body != nil && x.err == nil {
-		x.err = x.fetch(req)
+		x.err = x.fetch()
 	}
 	c.begin(x)
 	if x.body != nil && !x.body.finish() {
--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -37,7 +37,7 @@
 // fetch reads a short body whole before the request runs, or the beginning of
 // a longer one. A request that waits then holds up neither the next one nor the
 // finding out that its caller has left. A body that is to be asked for is left.
-func (x *exchange) fetch(req *http.Request) error {
+func (x *exchange) fetch() error {
 	if x.body.proceed != nil {
 		return nil
 	}
--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -140,7 +140,7 @@
 	a.board = b
 	var decided []func()
 	for key, p := range a.pools {
-		a.inform(now, key, p)
+		a.inform(key, p)
 		decided = append(decided, p.decide(p.machine.Tick(now))...)
 	}
 	a.forgetRuns(now)
@@ -160,7 +160,7 @@
 }
 
 // inform tells a pool what the board says of it. The caller holds mu.
-func (a *Admitter) inform(now time.Time, key poolKey, p *pool) {
+func (a *Admitter) inform(key poolKey, p *pool) {
 	count := len(a.board.poolsOf(key.service))
 	var list []scheduler.Upstream
 	for _, u := range a.board.Upstreams {
@@ -170,7 +170,7 @@
 	}
 	p.machine.SetConfig(a.config(key))
 	p.machine.SetRank(a.rank(key))
-	p.machine.SetUpstreams(now, list)
+	p.machine.SetUpstreams(list)
 	p.machine.SetOwners(a.board.Owners[key.service])
 }
 
@@ -205,7 +205,7 @@
 const unknownRank = 3
 
 // pool returns a pool, and makes it if there is none. The caller holds mu.
-func (a *Admitter) pool(now time.Time, key poolKey) *pool {
+func (a *Admitter) pool(key poolKey) *pool {
 	p, ok := a.pools[key]
 	if !ok {
 		p = &pool{
@@ -213,7 +213,7 @@
 			links: make(map[uint64]*messenger.Link), loads: make(map[pimento.Key]int),
 		}
 		a.pools[key] = p
-		a.inform(now, key, p)
+		a.inform(key, p)
 	}
 	return p
 }
@@ -225,7 +225,7 @@
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	p := a.pool(now, key)
+	p := a.pool(key)
 	a.ticket++
 	t.ID = a.ticket
 	p.waiting[t.ID] = w
--- a/elector/machine.go
+++ b/elector/machine.go
@@ -28,7 +28,7 @@
 //	m := elector.New(self, elector.DefaultTiming())
 //	m.Learn(now, term)
 //	confirmed := m.Ask(now, ask)             // as a confirmer
-//	m.Answer(now, sentAt, from, epoch, true) // as the leader
+//	m.Answer(sentAt, from, epoch, true) // as the leader
 //	if now.Before(m.AuthorityUntil()) { ... }
 //	if m.MayStand(now, ended, ready) { term := m.Next(live, ended); ... }
 package elector
@@ -148,7 +148,7 @@
 
 // Answer takes the answer to a question that was sent at sentAt. learned says
 // that the process knows the term of that epoch, or a later one.
-func (m *Machine) Answer(now, sentAt time.Time, from pimento.ProcessID, epoch uint64, confirmed bool) {
+func (m *Machine) Answer(sentAt time.Time, from pimento.ProcessID, epoch uint64, confirmed bool) {
 	if epoch != m.term.Epoch || !m.Leads() {
 		return
 	}
--- a/keeper/machine.go
+++ b/keeper/machine.go
@@ -106,13 +106,6 @@
 	ResultRefused  Result = "NotUsable" // the upstream answered otherwise
 )
 
-// id names a holding for as long as it is with one holder.
-type id struct {
-	service pimento.ServiceName
-	from    pimento.Key
-	fence   uint64
-}
-
 // row is a holding with what is known of it.
 type row struct {
 	service pimento.ServiceName
--- a/leader/ask.go
+++ b/leader/ask.go
@@ -78,12 +78,12 @@
 		if m.silent(now) {
 			m.askAt = now.Add(silentPause)
 		}
-		l.ask(now, m)
+		l.ask(m)
 	}
 }
 
 // ask sends one question.
-func (l *Leader) ask(now time.Time, m *member) {
+func (l *Leader) ask(m *member) {
 	t := l.lead
 	q := &messenger.Ask{Term: l.elector.Term(), Blind: !l.HasStore(), Versions: t.versions}
 	go func() {
@@ -112,7 +112,7 @@
 	default:
 		m.versions = messenger.Versions{Manifest: r.Versions.Manifest}
 	}
-	l.elector.Answer(now, sentAt, m.process.ID, r.Epoch, r.Confirmed)
+	l.elector.Answer(sentAt, m.process.ID, r.Epoch, r.Confirmed)
 	if l.lead != nil {
 		l.lead.takeReport(now, r.Loads, r.Speeds)
 	}
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -20,7 +20,7 @@
 // # Usage
 //
 //	p := scheduler.New(scheduler.Config{...})
-//	p.SetUpstreams(now, list)
+//	p.SetUpstreams(list)
 //	decisions := p.Offer(now, ticket)
 //	decisions = p.Done(now, id, result)
 //	decisions = p.Tick(now)
@@ -140,7 +140,7 @@
 
 // SetUpstreams replaces what is known of the upstreams. What was measured of a
 // run stays; a run that began anew is measured anew.
-func (p *Pool) SetUpstreams(now time.Time, list []Upstream) {
+func (p *Pool) SetUpstreams(list []Upstream) {
 	seen := make(map[pimento.UpstreamName]bool, len(list))
 	for _, u := range list {
 		seen[u.Name] = true
--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -124,7 +124,7 @@
 		if now.Add(margin).Before(t.Deadline) {
 			return false
 		}
-		out = append(out, Decision{Ticket: t.ID, Refusal: p.refuse(now, 0, "no upstream had room before the deadline")})
+		out = append(out, Decision{Ticket: t.ID, Refusal: p.refuse(0, "no upstream had room before the deadline")})
 		return true
 	})
 	return out
@@ -132,7 +132,7 @@
 
 // refuse returns a refusal with a time after which there will be room, spread
 // so that those who return do not come as one wave.
-func (p *Pool) refuse(now time.Time, wait time.Duration, detail string) *pimento.OutcomeError {
+func (p *Pool) refuse(wait time.Duration, detail string) *pimento.OutcomeError {
 	out := pimento.NotRun(pimento.ReasonOverloaded, detail)
 	p.draws = p.draws*6364136223846793005 + 1442695040888963407
 	spread := 1 + float64(p.draws>>40)/float64(1<<24)/2
@@ -144,14 +144,14 @@
 // if it may wait.
 func (p *Pool) turnAway(now time.Time, t *Ticket) *pimento.OutcomeError {
 	if len(p.waiting) >= maxWaiting {
-		return p.refuse(now, maxReturn, "too many requests wait")
+		return p.refuse(maxReturn, "too many requests wait")
 	}
 	if p.config.Keyed {
 		return p.turnAwayKeyed(now, t)
 	}
 	wait, o, ok := p.waitFor(now, t)
 	if !ok {
-		return p.refuse(now, breakMost, "no upstream of the service can be reached")
+		return p.refuse(breakMost, "no upstream of the service can be reached")
 	}
 	return p.judge(now, t, wait, p.workOf(t.Route), o)
 }
@@ -171,7 +171,7 @@
 		}
 	}
 	back := wait - t.GoalAt.Sub(t.Arrived)/2
-	return p.refuse(now, back, fmt.Sprintf("room is expected only after %s", wait.Round(time.Millisecond)))
+	return p.refuse(back, fmt.Sprintf("room is expected only after %s", wait.Round(time.Millisecond)))
 }
 
 // line is what a request that waits competes for: all upstreams of a pool, or
@@ -233,14 +233,14 @@
 	u, o := p.ownerOf(t.Key)
 	if u == nil || !o.Ready {
 		if wait := o.ReadyAt.Sub(now); wait > moveWait || o.Upstream == "" && o.ReadyAt.IsZero() {
-			return p.refuse(now, max(wait, moveWait), "nobody holds the key now")
+			return p.refuse(max(wait, moveWait), "nobody holds the key now")
 		}
 		if u == nil {
 			return nil
 		}
 	}
 	if u.health.breaks > 1 && now.Before(u.health.openAt) {
-		return p.refuse(now, u.health.openAt.Sub(now), "the holder of the key cannot be reached")
+		return p.refuse(u.health.openAt.Sub(now), "the holder of the key cannot be reached")
 	}
 	l := &line{timely: &u.timely, capacity: p.throughput(now, t, u), usual: p.usual(t, u)}
 	ahead := 1
--- a/translator/wire.go
+++ b/translator/wire.go
@@ -41,10 +41,12 @@
 	// maxKeyLength is the longest Relay-Key in bytes.
 	maxKeyLength = 1024
 
-	// GrantPath, ReleasePath and HealthPath are those of calls to upstreams.
-	GrantPath   = "/relay/grant"
+	// GrantPath is that of a call that gives keys.
+	GrantPath = "/relay/grant"
+	// ReleasePath is that of a call that takes keys back.
 	ReleasePath = "/relay/release"
-	HealthPath  = "/relay/health"
+	// HealthPath is that of a probe.
+	HealthPath = "/relay/health"
 )
 
 // Wire is the product's own wire.
