Take two data races out of the simulated store

A write that takes effect late wrote the result that its caller had returned long ago, and the probabilities of lost and late calls were read without the lock that guards them. Both are in the test's world, not in the product. The draws stay the same; no check was changed.

--- a/leader/world_test.go
+++ b/leader/world_test.go
@@ -183,10 +183,11 @@
 	return w.cuts[[2]string{from, to}]
 }
 
-func (w *world) chance(p float64) bool {
+// chance draws with a probability of the world, which may change meanwhile.
+func (w *world) chance(p *float64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.rng.Float64() < p
+	return w.rng.Float64() < *p
 }
 
 func (w *world) between(a, b time.Duration) time.Duration {
@@ -235,14 +236,14 @@
 
 func (p *process) write(ctx context.Context, do func() error) error {
 	switch {
-	case p.w.chance(p.w.lateWrite):
+	case p.w.chance(&p.w.lateWrite):
 		p.w.running.Go(func() {
 			sleep(p.w.ctx, p.w.between(time.Second, 6*time.Second))
 			do() // if its condition still holds
 		})
 		sleep(ctx, 1200*time.Millisecond)
 		return &pimento.UnreachableError{Target: storeName, Cause: errSilence}
-	case p.w.chance(p.w.loseWrite):
+	case p.w.chance(&p.w.loseWrite):
 		if err := p.call(ctx, do); err != nil {
 			return err
 		}
@@ -323,6 +324,8 @@
 		p.w.store[key] = out
 		return nil
 	})
+	p.w.mu.Lock() // a late write may take effect just now
+	defer p.w.mu.Unlock()
 	return out, err
 }
 
@@ -455,7 +458,7 @@
 		return lost
 	}
 	arrived := time.Now()
-	if p.w.chance(p.w.lateGrant) {
+	if p.w.chance(&p.w.lateGrant) {
 		p.w.running.Go(func() {
 			sleep(p.w.ctx, p.w.between(2*time.Second, 12*time.Second))
 			p.w.takeGrant(p.self.ID, to, g, arrived)
