Drop a method and a constant that nothing uses

No behaviour changes.

Checked: format, vet, both linters on the packages, and the tests of elector, keeper, leader, router, connector, forwarder, relay and the root package.

--- a/elector/machine.go
+++ b/elector/machine.go
@@ -34,7 +34,6 @@
 package elector
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -339,16 +338,3 @@
 	}
 	return out
 }
-
-// ConfirmedSince returns the confirmers that have confirmed a question sent at
-// or after a moment.
-func (m *Machine) ConfirmedSince(at time.Time) []pimento.ProcessID {
-	var out []pimento.ProcessID
-	for id := range maps.Keys(m.confirmed) {
-		if !m.confirmed[id].Before(at) {
-			out = append(out, id)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
--- a/keeper/machine.go
+++ b/keeper/machine.go
@@ -100,10 +100,9 @@
 // The results.
 const (
 	ResultAccepted Result = "Accepted"
-	ResultFenced   Result = "Fenced"    // a higher fence was seen
-	ResultUnsent   Result = "Unsent"    // it certainly did not arrive
-	ResultUnknown  Result = "NoAnswer"  // it may have arrived
-	ResultRefused  Result = "NotUsable" // the upstream answered otherwise
+	ResultFenced   Result = "Fenced"   // a higher fence was seen
+	ResultUnsent   Result = "Unsent"   // it certainly did not arrive
+	ResultUnknown  Result = "NoAnswer" // it may have arrived
 )
 
 // row is a holding with what is known of it.
