Let others stand soon where the leader lacks the store

Others now wait 0.2 s, and each further one in turn 0.15 s more, so that not all ask the store at once.

--- a/elector/machine.go
+++ b/elector/machine.go
@@ -48,7 +48,7 @@
 	Suspect time.Duration // silence of a leader after which others stand
 	Stagger time.Duration // how much longer each further candidate waits
 	Blind   time.Duration // how long a leader acts without seeing the store
-	Yield   time.Duration // how long a leader may lack the store before others stand
+	Yield   time.Duration // how long a leader may say that it lacks the store before others stand
 }
 
 // DefaultTiming returns the intervals of the product. A lease spans four
@@ -61,7 +61,7 @@
 		Suspect: 700 * time.Millisecond,
 		Stagger: 150 * time.Millisecond,
 		Blind:   20 * time.Second,
-		Yield:   1200 * time.Millisecond,
+		Yield:   200 * time.Millisecond,
 	}
 }
 
@@ -230,7 +230,7 @@
 	if epoch < m.term.Epoch {
 		return false
 	}
-	return m.lacksLeader(now, m.timing.Suspect/2)
+	return m.lacksLeader(now, m.timing.Suspect/2, m.timing.Yield)
 }
 
 // IsLed reports whether this process hears a leader that reaches the store.
@@ -238,17 +238,23 @@
 	return m.term.Leader != "" && !m.Leads() && m.blindSince.IsZero() && now.Sub(m.heardAt) < 3*m.timing.Ask
 }
 
-func (m *Machine) lacksLeader(now time.Time, silence time.Duration) bool {
+// lacksLeader reports whether the leader has been silent, or has lacked the
+// store, for longer than the given times.
+func (m *Machine) lacksLeader(now time.Time, silence, yield time.Duration) bool {
 	if m.term.Leader == "" {
 		return true
 	}
 	if m.Leads() {
-		return now.Sub(m.verifiedAt) > m.timing.Yield
+		return now.Sub(m.verifiedAt) > verifiedLately
 	}
-	blind := !m.blindSince.IsZero() && now.Sub(m.blindSince) > m.timing.Yield
+	blind := !m.blindSince.IsZero() && now.Sub(m.blindSince) > yield
 	return blind || now.Sub(m.heardAt) > silence
 }
 
+// verifiedLately is how long ago the store may have shown a leader its term
+// before it votes for others.
+const verifiedLately = 1200 * time.Millisecond
+
 // Silence returns how long this process has heard no leader.
 func (m *Machine) Silence(now time.Time) time.Duration {
 	if m.term.Leader == "" || m.Leads() {
@@ -278,7 +284,8 @@
 	if ended(m.term.Leader) {
 		wait = 0
 	}
-	return m.lacksLeader(now, wait+time.Duration(rank)*m.timing.Stagger)
+	turn := time.Duration(rank) * m.timing.Stagger
+	return m.lacksLeader(now, wait+turn, m.timing.Yield+turn)
 }
 
 // Electors returns the processes whose votes a candidate needs, and how many:
--- a/leader/simulation_test.go
+++ b/leader/simulation_test.go
@@ -309,3 +309,36 @@
 		})
 	}
 }
+
+// TestLeavingIsTold holds that every process that is in touch learns in time
+// that an upstream leaves, whatever has just happened to the leader.
+func TestLeavingIsTold(t *testing.T) {
+	const drain = 2 * time.Second // the least time that operators give
+	for _, c := range []struct {
+		name   string
+		strike func(w *world, leader pimento.HostName)
+		apart  bool // the leader itself is not in touch
+	}{
+		{"nothing", func(*world, pimento.HostName) {}, false},
+		{"leader is cut from the store", func(w *world, l pimento.HostName) { w.cut(string(l), storeName) }, true},
+		{"leader hears nothing of the store", func(w *world, l pimento.HostName) { w.cut(storeName, string(l)) }, true},
+		{"leader is lost", func(w *world, l pimento.HostName) { w.kill(l) }, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range uint64(12) {
+				inWorld(t, seed+1, true, func(w *world) {
+					l := w.leaderHost()
+					w.leave("u0")
+					time.Sleep(w.between(0, 200*time.Millisecond))
+					c.strike(w, l)
+					time.Sleep(drain - 200*time.Millisecond)
+					for _, h := range w.usedBy("u0") {
+						if h != l || !c.apart {
+							t.Errorf("seed %d: %s still counts on the upstream", seed+1, h)
+						}
+					}
+				})
+			}
+		})
+	}
+}
--- a/leader/world_test.go
+++ b/leader/world_test.go
@@ -54,6 +54,7 @@
 	cancel context.CancelFunc
 	mu     sync.Mutex
 	has    messenger.Versions
+	told   map[pimento.UpstreamName]pimento.State // of the upstreams
 }
 
 // upstream is an upstream with what it was granted.
@@ -420,6 +421,34 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.has = s.Versions
+	if s.Upstreams == nil {
+		return
+	}
+	if s.Upstreams.Whole || p.told == nil {
+		p.told = make(map[pimento.UpstreamName]pimento.State)
+	}
+	for _, u := range s.Upstreams.Upstreams {
+		p.told[u.Name] = u.State
+	}
+	for _, name := range s.Upstreams.Gone {
+		delete(p.told, name)
+	}
+}
+
+// usedBy returns the processes that still count on an upstream.
+func (w *world) usedBy(name pimento.UpstreamName) []pimento.HostName {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []pimento.HostName
+	for _, p := range w.processes {
+		p.mu.Lock()
+		state, ok := p.told[name]
+		p.mu.Unlock()
+		if ok && state != pimento.StateLeaving {
+			out = append(out, p.self.Host)
+		}
+	}
+	return out
 }
 
 // Manifest implements Member.
