Even out keys while none is asked for

Cause: upstreams register over some two seconds. Ruled out: waiting for all to register, since nobody knows how many there are. Test: TestKeysAreEvenAtStart failed before (4 369 to 16 384 keys, 10 922 are even) and passes.

--- a/leader/simulation_test.go
+++ b/leader/simulation_test.go
@@ -36,12 +36,18 @@
 
 // inWorld runs a test on virtual time with a deployment that has started.
 func inWorld(t *testing.T, seed uint64, quiet bool, test func(*world)) {
+	t.Helper()
+	inWorldOf(t, seed, quiet, 0, test)
+}
+
+// inWorldOf is inWorld with upstreams that register within a span.
+func inWorldOf(t *testing.T, seed uint64, quiet bool, span time.Duration, test func(*world)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		restore := timekeeper.Use(time.Now)
 		defer restore()
 		ctx, cancel := context.WithCancel(context.Background())
-		w := newWorld(ctx, seed, quiet)
+		w := newWorldOf(ctx, seed, quiet, span)
 		defer func() {
 			cancel()
 			w.running.Wait()
@@ -198,6 +204,22 @@
 	inWorld(t, 1, true, func(w *world) { w.checkWhole(t) })
 }
 
+// TestKeysAreEvenAtStart holds that upstreams that register one after the other
+// begin with even shares of the keys, before anything is known of their load.
+func TestKeysAreEvenAtStart(t *testing.T) {
+	for seed := range uint64(8) {
+		inWorldOf(t, seed+1, true, 1800*time.Millisecond, func(w *world) {
+			w.checkWhole(t)
+			even := pimento.AllKeys.Len() / simUpstreams
+			for name, n := range w.held() {
+				if n < even*8/10 || n > even*12/10 {
+					t.Errorf("seed %d: %s holds %d keys, even are %d", seed+1, name, n, even)
+				}
+			}
+		})
+	}
+}
+
 // checkWhole holds that one process leads and all keys are held.
 func (w *world) checkWhole(t *testing.T) {
 	t.Helper()
--- a/leader/world_test.go
+++ b/leader/world_test.go
@@ -72,7 +72,8 @@
 	until time.Time
 }
 
-func newWorld(ctx context.Context, seed uint64, quiet bool) *world {
+// newWorldOf is newWorld with upstreams that register within a span.
+func newWorldOf(ctx context.Context, seed uint64, quiet bool, span time.Duration) *world {
 	w := &world{
 		quiet: quiet, rng: rand.New(rand.NewPCG(seed, 1)), started: time.Now(), ctx: ctx,
 		processes: make(map[pimento.ProcessID]*process), upstreams: make(map[pimento.UpstreamName]*upstream),
@@ -81,10 +82,18 @@
 	}
 	for i := range simUpstreams {
 		name := pimento.UpstreamName(fmt.Sprintf("u%d", i))
-		w.upstreams[name] = &upstream{listed: true, up: true, server: pimento.Server{
+		u := &upstream{listed: span == 0, up: true, server: pimento.Server{
 			Name: name, Service: simService, Domain: pimento.DomainName(fmt.Sprint(i % 3)), Slots: 4, State: pimento.StateArriving,
 			Started: time.Now(), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80),
 		}}
+		w.upstreams[name] = u
+		if span > 0 {
+			w.later(w.between(0, span), func() {
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				u.listed = true
+			})
+		}
 	}
 	for i := range simProcesses {
 		w.hosts = append(w.hosts, pimento.HostName(fmt.Sprintf("h%d", i)))
@@ -647,18 +656,27 @@
 	w.upstreams[name].server.State = pimento.StateLeaving
 }
 
-// heldKeys returns how many keys an upstream that is up holds now.
-func (w *world) heldKeys() int {
+// held returns how many keys each upstream that is up holds now.
+func (w *world) held() map[pimento.UpstreamName]int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	n := 0
-	for _, u := range w.upstreams {
+	out := make(map[pimento.UpstreamName]int)
+	for name, u := range w.upstreams {
 		for _, g := range u.grants {
 			if u.up && time.Now().Before(g.until) {
-				n += g.Len()
+				out[name] += g.Len()
 			}
 		}
 	}
+	return out
+}
+
+// heldKeys returns how many keys an upstream that is up holds now.
+func (w *world) heldKeys() int {
+	n := 0
+	for _, keys := range w.held() {
+		n += keys
+	}
 	return n
 }
 
--- a/partitioner/partitioner.go
+++ b/partitioner/partitioner.go
@@ -31,6 +31,9 @@
 	excessUse = 0.15
 	// maxMoves bounds the ranges that move for balance in one plan.
 	maxMoves = 24
+	// idleExcess is how many times the mean use an upstream may have before keys
+	// move from it while none is asked for, when a move disturbs nobody.
+	idleExcess = 1.15
 	// minLoad is the least load in requests a second that is worth a move.
 	minLoad = 0.4
 	// joinKeys is the part of its share of the keys below which an upstream
@@ -266,11 +269,12 @@
 func (p *plan) balance() {
 	list := slices.Clone(p.shares)
 	before := len(p.moves)
+	idle := len(p.keys) == 0
 	for len(list) > 1 && len(p.moves)-before < maxMoves {
 		mean := mean(list, 0)
 		from := slices.MaxFunc(list, func(a, b *share) int { return cmp.Compare(a.use(), b.use()) })
 		to := slices.MinFunc(list, func(a, b *share) int { return cmp.Compare(a.use(), b.use()) })
-		over := from.use() > max(calmUse, mean+excessUse)
+		over := from.use() > max(calmUse, mean+excessUse) || idle && from.use() > mean*idleExcess
 		joins := p.joins(to, mean)
 		if !over && !joins {
 			return
@@ -279,7 +283,7 @@
 		if joins {
 			want, reason = max(want, mean*to.Capacity/joinParts), ReasonJoin
 		}
-		if want < minLoad && !joins || !p.shift(from, to, want, reason) {
+		if want < minLoad && !joins && !idle || !p.shift(from, to, want, reason) {
 			list = slices.DeleteFunc(list, func(s *share) bool { return s == from })
 		}
 	}
