Read and answer requests that come while a process begins to end

Ruled out: bytes that cross a close (they would end at once), the end of the process (6 s). Now a connection on which a request has begun to come is not idle and counts as active, and a body that comes too late is answered with 408 instead of a close. Tests: TestRefuseWhileARequestArrives (three places) and TestBodyThatComesTooLate failed before and pass, with the race detector too.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -152,8 +152,19 @@
 	}
 }
 
-// Active returns how many requests have no whole answer yet.
-func (a *Acceptor) Active() int { return int(a.active.Load()) }
+// Active returns how many requests have no whole answer yet, those that have
+// begun to come included.
+func (a *Acceptor) Active() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := int(a.active.Load())
+	for c := range a.conns {
+		if c.isReading() {
+			n++
+		}
+	}
+	return n
+}
 
 // Connections returns how many connections are open.
 func (a *Acceptor) Connections() int {
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -386,3 +386,49 @@
 		}
 	}
 }
+
+// TestRefuseWhileARequestArrives holds that a request whose first bytes had come
+// before the end of the process began is read and answered, however slowly the
+// rest comes.
+func TestRefuseWhileARequestArrives(t *testing.T) {
+	head := "POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 8\r\n\r\n"
+	for _, c := range []struct {
+		name         string
+		early, later string
+	}{
+		{"within its header", head[:20], head[20:] + "whole..."},
+		{"before its body", head, "whole..."},
+		{"within its body", head + "who", "le..."},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			a, _, dial := serve(t, pimento.Limits{})
+			conn := dial()
+			io.WriteString(conn, c.early)
+			time.Sleep(50 * time.Millisecond) // until it is being read
+			a.Drain()
+			a.Refuse()
+			time.Sleep(50 * time.Millisecond)
+			is.Equal(a.Active(), 1) // so the process does not end yet
+			io.WriteString(conn, c.later)
+			resp, body, err := read(t, bufio.NewReader(conn), "POST")
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, http.StatusOK)
+			is.Equal(body, "whole...")
+			is.True(resp.Close)
+		})
+	}
+}
+
+// TestBodyThatComesTooLate holds that a caller whose body has not come before
+// its deadline is told so.
+func TestBodyThatComesTooLate(t *testing.T) {
+	is := is.New(t)
+	_, h, dial := serve(t, pimento.Limits{})
+	conn := dial()
+	io.WriteString(conn, "POST /echo HTTP/1.1\r\nHost: x\r\nPimentorelay-Deadline-Ms: 60\r\nContent-Length: 8\r\n\r\nwho")
+	resp, _, err := read(t, bufio.NewReader(conn), "POST")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusRequestTimeout)
+	is.Equal(len(h.started), 0) // not run, as the status says
+}
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -29,6 +29,7 @@
 
 	mu      sync.Mutex
 	pending int  // requests in queue or being answered
+	reading bool // a request has begun to come that is not in queue yet
 	closing bool // the last answer is out
 	refused bool // no request is to follow
 }
@@ -122,6 +123,7 @@
 		}
 		_, err := c.r.Peek(1)
 		if err == nil {
+			c.setReading()
 			return true
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -146,8 +148,25 @@
 	if err := c.raw.SetReadDeadline(time.Now().Add(lastByteTimeout)); err != nil {
 		return false
 	}
-	_, err := c.r.Peek(1)
-	return err == nil
+	if _, err := c.r.Peek(1); err != nil {
+		return false
+	}
+	c.setReading()
+	return true
+}
+
+// setReading notes that a request has begun to come, so that the connection is
+// not idle any more.
+func (c *conn) setReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = true
+}
+
+func (c *conn) isReading() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reading
 }
 
 // lastByteTimeout bounds that look. It leaves time for one wake-up.
@@ -224,17 +243,18 @@
 func (c *conn) enqueue(x *exchange) {
 	c.mu.Lock()
 	c.pending++
+	c.reading = false
 	c.mu.Unlock()
 	c.a.active.Add(1)
 	c.queue <- x
 }
 
-// closeIdle closes the connection if no request runs on it.
+// closeIdle closes the connection if no request runs on it or begins to come.
 func (c *conn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.refused = true
-	if c.pending == 0 {
+	if c.pending == 0 && !c.reading {
 		// A read deadline in the past ends the wait for a next request.
 		if err := c.raw.SetReadDeadline(time.Unix(1, 0)); err != nil {
 			c.raw.Close()
--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -303,13 +303,19 @@
 	if err != nil {
 		b.end = err
 		b.abandon()
-		if err != io.EOF && err != errTooLarge && !b.left.Load() {
-			b.conn.cancel() // the caller has left
+		if b.hasLeft(err) {
+			b.conn.cancel()
 		}
 	}
 	return n, err
 }
 
+// hasLeft reports whether an error of reading says that the caller has left. One
+// that is only slow is still there to be answered.
+func (b *body) hasLeft(err error) bool {
+	return err != io.EOF && err != errTooLarge && !errors.Is(err, os.ErrDeadlineExceeded) && !b.left.Load()
+}
+
 // whole reports whether all of the body has been read.
 func (b *body) whole() bool {
 	b.mu.Lock()
