Let keys follow their load faster

(c) What upstreams bear was taken over at 0.12 a report, 1.6 s; now 0.25. (d) What they bear was reported before anything was measured. (e) Narrow ranges were preferred so much that many small moves were needed; 512 keys now weigh as 64 did.

--- a/leader/ask.go
+++ b/leader/ask.go
@@ -131,7 +131,7 @@
 
 // speedShare is the weight of a new report of what an upstream bears. Slow
 // spells of less than a second are not worth moving keys.
-const speedShare = 0.12
+const speedShare = 0.25
 
 // HandleAsk answers the question of a leader.
 func (l *Leader) HandleAsk(from pimento.ProcessID, q *messenger.Ask, reply func(*messenger.Message)) {
--- a/partitioner/partitioner.go
+++ b/partitioner/partitioner.go
@@ -355,7 +355,7 @@
 }
 
 // narrowKeys weighs the width of a range against the load that it carries.
-const narrowKeys = 64
+const narrowKeys = 512
 
 // part cuts a range without measured load from the widest piece.
 func (p *plan) part(from *share, want float64) (pimento.KeyRange, int, bool) {
--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -179,8 +179,11 @@
 }
 
 // Capacities returns how many requests a second each usable upstream bears, of
-// the mix that comes.
+// the mix that comes; nothing before a few requests were measured.
 func (p *Pool) Capacities(now time.Time) map[pimento.UpstreamName]float64 {
+	if p.work.count < minCount {
+		return nil
+	}
 	out := make(map[pimento.UpstreamName]float64, len(p.upstreams))
 	for name, u := range p.upstreams {
 		if u.Usable {
