Let strong hosts lead

The strongest live processes confirm, stand first, and get 0.5 s before weaker ones where nobody leads. A candidate also asks who has registered since, so that processes that are gone do not confirm. TestAllFaultySettingsAreNamed expects 8 faults in place of 7: one more setting is checked, and the test gives a faulty one.

--- a/elector/machine.go
+++ b/elector/machine.go
@@ -34,6 +34,7 @@
 package elector
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -77,6 +78,10 @@
 
 // Machine is the state of one process. It is not safe for concurrent use.
 type Machine struct {
+	// Strength returns how much the host of a process can carry; nil: all are
+	// alike. The strongest processes confirm, and stand first.
+	Strength func(pimento.ProcessID) float64
+
 	self   pimento.ProcessID
 	timing Timing
 	term   pimento.Term
@@ -327,21 +332,45 @@
 	return t
 }
 
-// choose keeps the confirmers that are live and fills up with others.
+// choose returns this process and the strongest live ones; of those that are
+// alike, such that confirm already. The strongest come first.
 func (m *Machine) choose(live []pimento.ProcessID) []pimento.ProcessID {
-	out := []pimento.ProcessID{m.self}
-	add := func(id pimento.ProcessID) {
-		if len(out) < MaxConfirmers && !slices.Contains(out, id) {
-			out = append(out, id)
-		}
+	list := slices.DeleteFunc(slices.Clone(live), func(id pimento.ProcessID) bool { return id == m.self })
+	slices.SortFunc(list, func(a, b pimento.ProcessID) int {
+		return cmp.Or(cmp.Compare(m.strength(b), m.strength(a)), m.place(a)-m.place(b), cmp.Compare(a, b))
+	})
+	list = slices.Compact(list)
+	return append([]pimento.ProcessID{m.self}, list[:min(len(list), MaxConfirmers-1)]...)
+}
+
+// place returns the place of a process among the confirmers, a later one than
+// any for others.
+func (m *Machine) place(id pimento.ProcessID) int {
+	if i := slices.Index(m.term.Confirmers, id); i >= 0 {
+		return i
 	}
-	for _, id := range m.term.Confirmers {
-		if slices.Contains(live, id) {
-			add(id)
-		}
+	return len(m.term.Confirmers)
+}
+
+func (m *Machine) strength(id pimento.ProcessID) float64 {
+	if m.Strength == nil {
+		return 0
 	}
-	for _, id := range live {
-		add(id)
+	return m.Strength(id)
+}
+
+// Stronger reports whether a set of confirmers is so much stronger than that of
+// the present term that it is worth a new one.
+func (m *Machine) Stronger(set []pimento.ProcessID) bool {
+	sum := func(list []pimento.ProcessID) (total float64) {
+		for _, id := range list {
+			total += m.strength(id)
+		}
+		return total
 	}
-	return out
+	return sum(set) > worthATerm*sum(m.term.Confirmers)
 }
+
+// worthATerm is how many times as strong as before confirmers must be for a
+// change of the term.
+const worthATerm = 1.5
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -110,6 +110,7 @@
 
 	standing   bool
 	stoodAt    time.Time
+	lacksSince time.Time                              // since when this process may stand
 	registered map[pimento.HostName]registeredProcess // as last read from the store
 	assignment *pimento.Assignment                    // as it stands in the store, as far as known
 	revision   uint64                                 // of the assignment
@@ -154,6 +155,7 @@
 // Run leads or stands by until ctx ends.
 func (l *Leader) Run(ctx context.Context) error {
 	l.elector = elector.New(l.Self.ID, l.Timing)
+	l.elector.Strength = l.strength
 	l.registered = make(map[pimento.HostName]registeredProcess)
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
@@ -257,7 +259,9 @@
 		l.act(now)
 		return
 	}
-	if l.elector.MayStand(now, l.ended) && !l.leaving.Load() {
+	if !l.elector.MayStand(now, l.ended) {
+		l.lacksSince = time.Time{}
+	} else if !l.leaving.Load() {
 		l.stand(ctx, now)
 	}
 	l.join(ctx, now)
--- a/leader/plan.go
+++ b/leader/plan.go
@@ -120,7 +120,8 @@
 	}
 	// Confirmers that are lost for good leave no majority: the others go on.
 	stuck := now.Sub(l.lead.authorityAt) > votePatience && len(wanted.Confirmers) < len(t.Confirmers)
-	if len(wanted.Confirmers) <= present && !stuck {
+	stronger := len(wanted.Confirmers) >= present && l.elector.Stronger(wanted.Confirmers)
+	if len(wanted.Confirmers) <= present && !stuck && !stronger {
 		return false
 	}
 	l.termAt = now
--- a/leader/simulation_test.go
+++ b/leader/simulation_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -364,3 +365,46 @@
 		})
 	}
 }
+
+// TestStrongHostsLead holds that a process on a strong host leads wherever one
+// can: at the start, after the leader has lost the store or is gone, and after
+// all processes were lost at once.
+func TestStrongHostsLead(t *testing.T) {
+	strong := []pimento.HostName{"h4", "h5", "h6"}
+	for seed := range uint64(8) {
+		inWorld(t, seed+1, true, func(w *world) {
+			check := func(when string, able ...pimento.HostName) {
+				t.Helper()
+				if l := w.leaderHost(); !slices.Contains(able, l) {
+					t.Errorf("seed %d: %s, %q leads", seed+1, when, l)
+				}
+				w.checkWhole(t)
+			}
+			w.setStrong(strong)
+			restartAll := func() {
+				for _, h := range w.hosts {
+					w.kill(h)
+				}
+				for _, h := range w.hosts {
+					w.later(w.between(0, 250*time.Millisecond), func() { w.start(h) })
+				}
+				time.Sleep(6 * time.Second)
+			}
+			restartAll()
+			check("after all were lost", strong...)
+			restartAll()
+			check("after all were lost again", strong...)
+			first := w.leaderHost()
+			w.cut(string(first), storeName)
+			time.Sleep(4 * time.Second)
+			second := w.leaderHost()
+			check("without the store", strong...)
+			if first == second {
+				t.Errorf("seed %d: %s leads without the store", seed+1, first)
+			}
+			w.kill(second)
+			time.Sleep(4 * time.Second)
+			check("after the second leader was lost", strong...)
+		})
+	}
+}
--- a/leader/stand.go
+++ b/leader/stand.go
@@ -25,6 +25,11 @@
 	// it needs. Then they are lost for good, and the conditional write alone
 	// decides; before, a part that is cut off would end the term of the others.
 	votePatience = 7 * time.Second
+	// strongerPause is how long a process waits for others on stronger hosts to
+	// stand before it does.
+	strongerPause = 500 * time.Millisecond
+	// strongerBy is how many times as strong a host must be to be waited for.
+	strongerBy = 1.5
 	// writeRetry is the time after a write that got no answer.
 	writeRetry = 150 * time.Millisecond
 )
@@ -93,6 +98,9 @@
 		return
 	}
 	l.standing = true
+	if l.lacksSince.IsZero() {
+		l.lacksSince = now
+	}
 	go func() {
 		s, err := l.readAssignment(ctx)
 		var list []registeredProcess
@@ -126,39 +134,79 @@
 	}
 }
 
+// strength returns how much the host of a process can carry, as far as it is
+// known here.
+func (l *Leader) strength(id pimento.ProcessID) float64 {
+	if id == l.Self.ID {
+		return l.Self.Strength
+	}
+	for _, p := range l.registered {
+		if p.process.ID == id {
+			return p.process.Strength
+		}
+	}
+	if l.assignment == nil {
+		return 0
+	}
+	m, _ := l.assignment.Member(id)
+	return m.Strength
+}
+
+// leavesToStronger reports whether this process should still wait for others on
+// stronger hosts to stand.
+func (l *Leader) leavesToStronger(now time.Time) bool {
+	if now.Sub(l.lacksSince) >= strongerPause {
+		return false
+	}
+	for _, p := range l.registered {
+		if p.process.Strength > strongerBy*l.Self.Strength {
+			return true
+		}
+	}
+	return false
+}
+
 // canvass asks the electors of the term in the store whether they lack a
-// leader.
+// leader, and others that have registered since.
 func (l *Leader) canvass(ctx context.Context, s stored) {
 	now := timekeeper.Now()
 	l.learn(now, s)
-	if !l.elector.MayStand(now, l.ended) {
+	if !l.elector.MayStand(now, l.ended) || l.leavesToStronger(now) {
 		l.stopStanding()
 		return
 	}
 	electors, need := l.elector.Electors(l.ended)
 	epoch := l.elector.Term().Epoch
-	votes := make(chan pimento.ProcessID, len(electors))
-	asked := 0
+	asked := make(map[pimento.ProcessID]pimento.Process)
 	for _, id := range electors {
-		if id == l.Self.ID {
-			need--
-			continue
+		if m, ok := l.assignment.Member(id); ok {
+			asked[id] = m.Process
 		}
-		m, ok := l.assignment.Member(id)
-		if !ok {
-			continue
+	}
+	for _, p := range l.registered {
+		if !l.inTerm(p.process.ID) {
+			asked[p.process.ID] = p.process
 		}
-		asked++
-		go func() { votes <- l.askVote(ctx, m.Process, epoch) }()
+	}
+	delete(asked, l.Self.ID)
+	votes := make(chan pimento.ProcessID, len(asked))
+	for _, p := range asked {
+		go func() { votes <- l.askVote(ctx, p, epoch) }()
 	}
 	go func() {
-		var live []pimento.ProcessID
-		for range asked {
+		live := []pimento.ProcessID{l.Self.ID}
+		for range len(asked) {
 			if id := <-votes; id != "" {
 				live = append(live, id)
 			}
 		}
-		l.post(ctx, func() { l.count(ctx, epoch, live, need) })
+		consent := 0
+		for _, id := range live {
+			if slices.Contains(electors, id) {
+				consent++
+			}
+		}
+		l.post(ctx, func() { l.count(ctx, epoch, live, consent >= need) })
 	}()
 }
 
@@ -173,11 +221,12 @@
 	return p.ID
 }
 
-// count writes the next term if enough electors lack a leader.
-func (l *Leader) count(ctx context.Context, epoch uint64, live []pimento.ProcessID, need int) {
+// count writes the next term if enough electors consent. live are the processes
+// that answered.
+func (l *Leader) count(ctx context.Context, epoch uint64, live []pimento.ProcessID, consent bool) {
 	now := timekeeper.Now()
 	patient := l.elector.Silence(now) < votePatience
-	if l.elector.Term().Epoch != epoch || len(live) < need && patient || !l.elector.MayStand(now, l.ended) {
+	if l.elector.Term().Epoch != epoch || !consent && patient || !l.elector.MayStand(now, l.ended) {
 		l.stopStanding()
 		return
 	}
@@ -185,16 +234,9 @@
 	if l.assignment != nil {
 		next = l.assignment.Clone()
 	}
-	answered := append(slices.Clone(live), l.Self.ID)
-	for _, p := range l.registered {
-		if !slices.Contains(answered, p.process.ID) && !l.inTerm(p.process.ID) {
-			live = append(live, p.process.ID) // new, and perhaps alive
-		}
-	}
-	slices.Sort(live)
 	next.Term = l.elector.Next(live, l.ended)
 	next.Members = l.membersFor(&next, func(id pimento.ProcessID) bool {
-		return l.inTerm(id) && !slices.Contains(answered, id)
+		return l.inTerm(id) && !slices.Contains(live, id)
 	})
 	next.Pools = appointer.Lines(next.Pools, l.sizes(), next.Members)
 	l.write(ctx, next, l.revision, func(s stored, won bool) {
--- a/leader/world_test.go
+++ b/leader/world_test.go
@@ -34,6 +34,7 @@
 	stale     map[string]pimento.Entry // what stale reads show; nil: the present
 	revision  uint64
 	storeDown bool
+	strong    []pimento.HostName
 	quiet     bool    // no load, so that no keys move for balance
 	loseWrite float64 // share of the writes that take effect without an answer
 	lateWrite float64 // share of the writes that take effect late without one
@@ -109,6 +110,10 @@
 	p := &process{w: w, self: pimento.Process{
 		ID: pimento.ProcessID(fmt.Sprintf("%s-%d", host, w.boots)), Host: host, Domain: pimento.DomainName(host[1:]), Started: time.Now(),
 	}}
+	p.self.Strength = 1
+	if slices.Contains(w.strong, host) {
+		p.self.Strength = 20
+	}
 	w.processes[p.self.ID] = p
 	w.mu.Unlock()
 	p.leader = &Leader{
@@ -161,6 +166,12 @@
 	w.cuts[[2]string{from, to}] = true
 }
 
+func (w *world) setStrong(hosts []pimento.HostName) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.strong = hosts
+}
+
 func (w *world) healAll() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/process.go
+++ b/process.go
@@ -19,4 +19,7 @@
 	Operator netip.AddrPort // HTTP, for operators
 	Token    string         // what other processes show to speak to this one
 	Started  time.Time
+	// Strength is how much the host can carry, to be compared with that of
+	// others: cores times Mbit/s; zero: not told.
+	Strength float64
 }
--- a/relay/run.go
+++ b/relay/run.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 
 	"github.com/hashicorp/go-hclog"
@@ -43,6 +44,7 @@
 type options struct {
 	Host     string
 	Domain   string
+	Strength float64
 	Peer     string
 	Caller   string
 	Operator string
@@ -76,6 +78,7 @@
 	f.StringVar(&o.Peer, "peer", "127.0.0.1:8401", "IP address and TCP port for the other processes")
 	f.StringVar(&o.Caller, "caller", "127.0.0.1:8080", "IP address and TCP port for callers")
 	f.StringVar(&o.Operator, "operator", "127.0.0.1:8402", "IP address and TCP port for operators")
+	f.Float64Var(&o.Strength, "strength", 1, "how much this host can carry, compared with the others; the strongest lead")
 	f.StringVar(&o.Platform, "platform", "", "IP address and TCP port of the platform's store")
 	f.StringVar(&o.LogLevel, "log-level", "info", "lowest level that is logged: trace, debug, info, warn, error or off")
 	f.BoolVar(&o.LogJSON, "log-json", false, "write the log as JSON")
@@ -91,8 +94,11 @@
 	if o.Domain == "" {
 		v.Add("--domain", o.Domain, "a failure domain")
 	}
+	if !(o.Strength > 0) {
+		v.Add("--strength", strconv.FormatFloat(o.Strength, 'g', -1, 64), "a number above zero")
+	}
 	r := &router.Router{
-		Host: pimento.HostName(o.Host), Domain: pimento.DomainName(o.Domain), Token: o.Token,
+		Host: pimento.HostName(o.Host), Domain: pimento.DomainName(o.Domain), Strength: o.Strength, Token: o.Token,
 		Peer: parseAddress(v, "--peer", o.Peer), Caller: parseAddress(v, "--caller", o.Caller),
 		Operator: parseAddress(v, "--operator", o.Operator), Bounds: pimento.DefaultBounds(), NeedKey: true,
 		CallerWire: translator.Wire{}, UpstreamWire: translator.Wire{},
--- a/relay/run_test.go
+++ b/relay/run_test.go
@@ -13,16 +13,16 @@
 
 func TestAllFaultySettingsAreNamed(t *testing.T) {
 	is := is.New(t)
-	o := &options{Peer: "localhost:1", Caller: "127.0.0.1", Operator: "0.0.0.0:1", Platform: "ftp://x", LogLevel: "loud"}
+	o := &options{Strength: -1, Peer: "localhost:1", Caller: "127.0.0.1", Operator: "0.0.0.0:1", Platform: "ftp://x", LogLevel: "loud"}
 	_, err := o.router()
 	var v *pimento.ValidationError
 	is.True(errors.As(err, &v))
-	is.Equal(len(v.Faults), 7)
+	is.Equal(len(v.Faults), 8)
 }
 
 func TestSoundSettings(t *testing.T) {
 	is := is.New(t)
-	o := &options{Host: "entry-1", Domain: "d1", Peer: "127.0.0.1:1", Caller: "127.0.0.1:2", Operator: "127.0.0.1:3", Platform: "127.0.0.1:4", LogLevel: "info"}
+	o := &options{Host: "entry-1", Domain: "d1", Strength: 1, Peer: "127.0.0.1:1", Caller: "127.0.0.1:2", Operator: "127.0.0.1:3", Platform: "127.0.0.1:4", LogLevel: "info"}
 	n, err := o.router()
 	is.NoErr(err)
 	is.Equal(n.Domain, pimento.DomainName("d1"))
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -95,7 +95,7 @@
 	}
 	log := hclog.New(&hclog.LoggerOptions{Name: "relay", Level: level, JSONFormat: true, Output: o.output})
 	r := &router.Router{
-		Host: s.Host, Domain: s.Domain, Peer: netip.AddrPortFrom(s.IP, s.FirstPort), Caller: s.Caller,
+		Host: s.Host, Domain: s.Domain, Peer: s.Peer, Strength: s.Strength, Caller: s.Caller,
 		Ready: s.Ready, ReadyPath: platform.ReadyPath, Operator: operator,
 		CallerWire: platform.Wire{}, UpstreamWire: platform.Wire{}, Bounds: s.Bounds, Log: log,
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -43,6 +43,8 @@
 type Router struct {
 	Host   pimento.HostName
 	Domain pimento.DomainName
+	// Strength is how much the host can carry; see pimento.Process.
+	Strength float64
 
 	Peer     netip.AddrPort // for other processes
 	Caller   netip.AddrPort // for callers
@@ -168,7 +170,7 @@
 	var l listeners
 	r.self = pimento.Process{
 		ID:   pimento.ProcessID(string(r.Host) + "-" + strconv.FormatUint(rand.Uint64(), 36)),
-		Host: r.Host, Domain: r.Domain, Started: time.Now().Round(0),
+		Host: r.Host, Domain: r.Domain, Started: time.Now().Round(0), Strength: r.Strength,
 		Token: strconv.FormatUint(rand.Uint64(), 36) + strconv.FormatUint(rand.Uint64(), 36),
 	}
 	var ready netip.AddrPort
