Call a store that is away less often

Ruled out: the leader's own reading (2.5 a second in all). Now pauses double up to 1 to 3 s, with a random part; a process that hears a leader asks the store itself only after the leader has lacked it for 2.5 s; one that does not confirm stands only after 3 s; the leader asks for its term and for processes only while the store answers.

--- a/elector/machine.go
+++ b/elector/machine.go
@@ -238,11 +238,18 @@
 	return m.lacksLeader(now, m.timing.Suspect/2, m.timing.Yield)
 }
 
-// IsLed reports whether this process hears a leader that reaches the store.
+// IsLed reports whether this process hears a leader that reaches the store, or
+// has lacked it for so short a time that another one that does may still take
+// its place.
 func (m *Machine) IsLed(now time.Time) bool {
-	return m.term.Leader != "" && !m.Leads() && m.blindSince.IsZero() && now.Sub(m.heardAt) < 3*m.timing.Ask
+	blind := !m.blindSince.IsZero() && now.Sub(m.blindSince) > ledBlind
+	return m.term.Leader != "" && !m.Leads() && !blind && now.Sub(m.heardAt) < 3*m.timing.Ask
 }
 
+// ledBlind is how long a leader may lack the store before those that it leads
+// ask the store themselves.
+const ledBlind = 2500 * time.Millisecond
+
 // lacksLeader reports whether the leader has been silent, or has lacked the
 // store, for longer than the given times.
 func (m *Machine) lacksLeader(now time.Time, silence, yield time.Duration) bool {
@@ -276,9 +283,10 @@
 	if m.term.Leader == "" {
 		return true
 	}
-	rank := 0
+	rank, yield := 0, outsiderYield
 	for _, id := range m.term.Confirmers {
 		if id == m.self {
+			yield = m.timing.Yield + time.Duration(rank)*m.timing.Stagger
 			break
 		}
 		if id != m.term.Leader && !ended(id) {
@@ -289,10 +297,14 @@
 	if ended(m.term.Leader) {
 		wait = 0
 	}
-	turn := time.Duration(rank) * m.timing.Stagger
-	return m.lacksLeader(now, wait+turn, m.timing.Yield+turn)
+	return m.lacksLeader(now, wait+time.Duration(rank)*m.timing.Stagger, yield)
 }
 
+// outsiderYield is how long a leader that is heard may lack the store before
+// processes stand that do not confirm it. The confirmers are enough unless the
+// store turns all of them away.
+const outsiderYield = 3 * time.Second
+
 // Electors returns the processes whose votes a candidate needs, and how many:
 // a majority of the confirmers that have not ended.
 func (m *Machine) Electors(ended func(pimento.ProcessID) bool) ([]pimento.ProcessID, int) {
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -109,7 +109,8 @@
 	authority atomic.Int64
 
 	standing   bool
-	stoodAt    time.Time
+	standAt    time.Time                              // when to stand next
+	standPause timekeeper.Backoff                     // where the store does not answer
 	lacksSince time.Time                              // since when this process may stand
 	registered map[pimento.HostName]registeredProcess // as last read from the store
 	assignment *pimento.Assignment                    // as it stands in the store, as far as known
@@ -141,6 +142,8 @@
 	reportAt    time.Time // when this process's own loads are counted next
 	authorityAt time.Time // when this process last had authority
 
+	listBackoff timekeeper.Backoff
+
 	listAt   time.Time // when the upstreams are to be read next
 	listing  bool
 	verifyAt time.Time
@@ -156,6 +159,7 @@
 func (l *Leader) Run(ctx context.Context) error {
 	l.elector = elector.New(l.Self.ID, l.Timing)
 	l.elector.Strength = l.strength
+	l.standPause = timekeeper.Backoff{Least: standRetry, Most: standRetryMost}
 	l.registered = make(map[pimento.HostName]registeredProcess)
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
@@ -198,8 +202,8 @@
 // Leads reports whether this process leads.
 func (l *Leader) Leads() bool { return l.leads.Load() }
 
-// IsLed reports whether this process leads, or hears a leader that reaches the
-// store and tells it what is new there.
+// IsLed reports whether this process leads, or hears a leader that tells it what
+// is new in the store.
 func (l *Leader) IsLed() bool { return l.Leads() || l.led.Load() }
 
 // noteStore records an answer of the store.
@@ -283,6 +287,7 @@
 		members: make(map[pimento.ProcessID]*member), speeds: make(map[pimento.UpstreamName]float64),
 		runs: make(map[pimento.UpstreamName]pimento.Server), queues: make(map[pimento.UpstreamName]*queue),
 		down: make(map[pimento.UpstreamName]pimento.Run), probing: make(map[pimento.UpstreamName]bool),
+		listBackoff: timekeeper.Backoff{Least: listRetry, Most: listRetryMost},
 	}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	t.loads.init()
@@ -317,11 +322,13 @@
 	if !t.listing && !now.Before(t.listAt) {
 		l.listUpstreams(now)
 	}
-	if !now.Before(t.verifyAt) {
-		l.verify(now)
-	}
-	if !t.reading && !now.Before(t.joinAt) {
-		l.readProcesses(now)
+	if l.HasStore() { // the list of upstreams finds out when it is back
+		if !now.Before(t.verifyAt) {
+			l.verify(now)
+		}
+		if !t.reading && !now.Before(t.joinAt) {
+			l.readProcesses(now)
+		}
 	}
 	in := l.input()
 	for _, c := range l.keeper.Step(now, in) {
--- a/leader/registry.go
+++ b/leader/registry.go
@@ -14,8 +14,13 @@
 	// listPause is the time between two readings of the upstreams. A leaving
 	// upstream must be known everywhere within two seconds.
 	listPause = 400 * time.Millisecond
-	// listRetry is the time after a reading that failed.
-	listRetry = 250 * time.Millisecond
+	// listRetry and listRetryMost bound the time after readings that failed. An
+	// outage ends for all of them within the longest.
+	listRetry     = 250 * time.Millisecond
+	listRetryMost = time.Second
+	// outRetryMost is the same for watches of failure domains taken out, which
+	// operators expect to act within five seconds.
+	outRetryMost = 2 * time.Second
 	// outageAfter is how long the store may not have answered before entries
 	// that are missing then may have lapsed with it.
 	outageAfter = 1200 * time.Millisecond
@@ -25,8 +30,6 @@
 	// outWait is how long one watch for failure domains taken out may wait. A
 	// watch may hear nothing though there are changes, so it is short.
 	outWait = 1500 * time.Millisecond
-	// outRetry is the time after such a watch that failed.
-	outRetry = 300 * time.Millisecond
 )
 
 // registry is what is known of the upstreams.
@@ -200,9 +203,10 @@
 			end := timekeeper.Now()
 			t.listing = false
 			if err != nil {
-				t.listAt = end.Add(listRetry)
+				t.listAt = end.Add(t.listBackoff.Pause())
 				return
 			}
+			t.listBackoff.Reset()
 			t.listAt = now.Add(listPause)
 			if t.upstreams.version == 0 {
 				t.planAt = end
@@ -219,13 +223,15 @@
 // it reads them anew.
 func (l *Leader) followOut(t *term) {
 	var after uint64
+	backoff := timekeeper.Backoff{Least: listRetry, Most: outRetryMost}
 	for t.ctx.Err() == nil {
 		out, changed, revision, err := l.Source.Out(t.ctx, after, outWait)
 		if err != nil {
 			after = 0
-			sleep(t.ctx, outRetry)
+			sleep(t.ctx, backoff.Pause())
 			continue
 		}
+		backoff.Reset()
 		after = revision
 		l.noteStore()
 		if changed {
--- a/leader/simulation_test.go
+++ b/leader/simulation_test.go
@@ -408,3 +408,30 @@
 		})
 	}
 }
+
+// TestOutageCostsFewCalls holds that processes do not press a store that is
+// away, and go on soon when it is back.
+func TestOutageCostsFewCalls(t *testing.T) {
+	const (
+		outage = 10 * time.Second
+		rate   = 1.0 // calls a second and process, on the mean
+	)
+	inWorld(t, 1, true, func(w *world) {
+		setDown := func(down bool) (calls int) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.storeDown = down
+			return w.calls
+		}
+		before := setDown(true)
+		time.Sleep(outage)
+		if n := setDown(false) - before; float64(n) > rate*simProcesses*outage.Seconds() {
+			t.Errorf("%d calls while the store was away", n)
+		}
+		w.leave("u0")
+		time.Sleep(3 * time.Second)
+		if list := w.usedBy("u0"); len(list) > 0 {
+			t.Errorf("%v do not know yet that an upstream leaves", list)
+		}
+	})
+}
--- a/leader/stand.go
+++ b/leader/stand.go
@@ -17,8 +17,10 @@
 )
 
 const (
-	// standPause is the time between two tries to lead.
-	standPause = 250 * time.Millisecond
+	// standRetry is the time between two tries to lead, and standRetryMost where
+	// the store does not answer.
+	standRetry     = 300 * time.Millisecond
+	standRetryMost = 3 * time.Second
 	// voteTimeout bounds a question to an elector.
 	voteTimeout = 350 * time.Millisecond
 	// votePatience is how long a candidate keeps trying to get the votes that
@@ -94,7 +96,7 @@
 
 // stand tries to lead the next term.
 func (l *Leader) stand(ctx context.Context, now time.Time) {
-	if l.standing || now.Before(l.stoodAt.Add(standPause)) {
+	if l.standing || now.Before(l.standAt) {
 		return
 	}
 	l.standing = true
@@ -109,9 +111,11 @@
 		}
 		l.post(ctx, func() {
 			if err != nil {
-				l.stopStanding()
+				l.standing = false
+				l.standAt = timekeeper.Now().Add(l.standPause.Pause())
 				return
 			}
+			l.standPause.Reset()
 			l.takeProcesses(list)
 			l.canvass(ctx, s)
 		})
@@ -120,7 +124,7 @@
 
 func (l *Leader) stopStanding() {
 	l.standing = false
-	l.stoodAt = timekeeper.Now().Add(jitter(standPause))
+	l.standAt = timekeeper.Now().Add(standRetry + jitter(standRetry))
 }
 
 // learn takes over an assignment that stands in the store.
--- a/leader/world_test.go
+++ b/leader/world_test.go
@@ -34,6 +34,7 @@
 	stale     map[string]pimento.Entry // what stale reads show; nil: the present
 	revision  uint64
 	storeDown bool
+	calls     int // to the store
 	strong    []pimento.HostName
 	quiet     bool    // no load, so that no keys move for balance
 	loseWrite float64 // share of the writes that take effect without an answer
@@ -243,6 +244,7 @@
 		return lost
 	}
 	p.w.mu.Lock()
+	p.w.calls++
 	down := p.w.storeDown
 	p.w.mu.Unlock()
 	if down {
--- a/router/follower.go
+++ b/router/follower.go
@@ -21,8 +21,10 @@
 	// manifestWait is how long one watch for a manifest may wait. A watch may
 	// hear nothing though there are changes, so it is short.
 	manifestWait = time.Second
-	// manifestRetry is the time after a watch that failed.
-	manifestRetry = 250 * time.Millisecond
+	// storeRetry and storeRetryMost bound the time after calls to the store that
+	// failed.
+	storeRetry     = 250 * time.Millisecond
+	storeRetryMost = 2 * time.Second
 	// manifestPause is the least time between two watches, so that manifests
 	// in quick succession cost few calls.
 	manifestPause = 150 * time.Millisecond
@@ -228,6 +230,7 @@
 // that is led hears of them from its leader.
 func (f *follower) followManifest(ctx context.Context) error {
 	var revision uint64
+	backoff := timekeeper.Backoff{Least: storeRetry, Most: storeRetryMost}
 	for ctx.Err() == nil {
 		if f.router.leader.IsLed() && !f.router.leader.Leads() && f.view.Load() != nil {
 			revision = 0
@@ -237,9 +240,10 @@
 		next, err := f.awaitManifest(ctx, revision)
 		revision = next
 		if err != nil {
-			sleep(ctx, manifestRetry)
+			sleep(ctx, backoff.Pause())
 			continue
 		}
+		backoff.Reset()
 		f.router.leader.StoreAnswered()
 		sleep(ctx, manifestPause)
 	}
@@ -292,26 +296,33 @@
 
 // followState reads the state from the store as long as no leader tells it.
 func (f *follower) followState(ctx context.Context) error {
+	pause := alonePause
+	backoff := timekeeper.Backoff{Least: alonePause, Most: storeRetryMost}
 	for ctx.Err() == nil {
-		sleep(ctx, alonePause)
+		sleep(ctx, pause)
+		pause = alonePause
 		if f.router.leader.IsLed() {
 			continue
 		}
-		f.readState(ctx)
+		if err := f.readState(ctx); err != nil { // told by the store's client
+			pause = backoff.Pause()
+			continue
+		}
+		backoff.Reset()
 	}
 	return ctx.Err()
 }
 
 // readState reads upstreams and failure domains from the store. What a leader
 // said of keys stays: an upstream refuses what it does not hold.
-func (f *follower) readState(ctx context.Context) {
+func (f *follower) readState(ctx context.Context) error {
 	servers, err := f.router.Source.Upstreams(ctx)
 	if err != nil {
-		return // the next try comes soon
+		return err
 	}
 	out, _, _, err := f.router.Source.Out(ctx, 0, 0)
 	if err != nil {
-		return
+		return err
 	}
 	f.router.leader.StoreAnswered()
 	now := timekeeper.Now()
@@ -328,4 +339,5 @@
 	board := f.board()
 	f.mu.Unlock()
 	f.router.admitter.Learn(board)
+	return nil
 }
