Refuse requests that crash the upstreams that run them

Weighed: counting broken connections alone, which blames every request whose answer was lost; so a break counts only if its upstream is then found down or started again without an answer in between, once for each crash, and an answer clears. A request with three such breaks in doubt waits 0.5 s. Dispatchers count for their pools, the leader for all, and tells the members; a minute later it may be tried again.

--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -72,6 +72,7 @@
 	if x.body != nil {
 		src = io.MultiReader(bytes.NewReader(x.begin), x.body)
 	}
+	x.request.SetPrint(x.begin)
 	answer, err := x.conn.a.Handler.Handle(ctx, x.request, src)
 	if x.body != nil {
 		x.body.abandon()
--- a/admitter/acquire.go
+++ b/admitter/acquire.go
@@ -11,6 +11,7 @@
 	"pimentorelay.example/pimento/connector"
 	"pimentorelay.example/pimento/forwarder"
 	"pimentorelay.example/pimento/messenger"
+	"pimentorelay.example/pimento/quarantiner"
 	"pimentorelay.example/pimento/scheduler"
 )
 
@@ -92,7 +93,7 @@
 // acquireHere lets this process decide.
 func (a *Admitter) acquireHere(ctx context.Context, key poolKey, r *pimento.Request, try forwarder.Try) (forwarder.Permit, error) {
 	decided := make(chan scheduler.Decision, 1)
-	id, out := a.offer(key, a.ticketOf(r, try), &waiter{answer: func(d scheduler.Decision) { decided <- d }})
+	id, out := a.offer(key, a.ticketOf(r, try), &waiter{print: quarantiner.Print(r.Print), answer: func(d scheduler.Decision) { decided <- d }})
 	runAll(out)
 	select {
 	case d := <-decided:
@@ -133,7 +134,7 @@
 	t := a.ticketOf(r, try)
 	reply, err := a.Peers.Call(ctx, p, &messenger.Message{Acquire: &messenger.Acquire{
 		Service: key.service, Pool: key.index, Route: t.Route, Priority: t.Priority, Key: t.Key, Domain: t.Domain, Bytes: t.Bytes,
-		Goal: t.GoalAt.Sub(t.Arrived), Left: t.Deadline.Sub(t.Arrived), Repeat: t.Repeat, Avoid: t.Avoid,
+		Goal: t.GoalAt.Sub(t.Arrived), Left: t.Deadline.Sub(t.Arrived), Repeat: t.Repeat, Avoid: t.Avoid, Print: quarantiner.Print(r.Print),
 	}})
 	switch {
 	case err != nil && ctx.Err() != nil:
--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -25,6 +25,7 @@
 
 	"pimentorelay.example/pimento"
 	"pimentorelay.example/pimento/messenger"
+	"pimentorelay.example/pimento/quarantiner"
 	"pimentorelay.example/pimento/scheduler"
 )
 
@@ -91,6 +92,7 @@
 	Bounds Bounds // see SetBounds
 
 	mu     sync.Mutex
+	crash  *quarantiner.Machine
 	board  *Board
 	pools  map[poolKey]*pool
 	down   map[pimento.ProcessID]time.Time // passed over until then
@@ -112,11 +114,20 @@
 	machine *scheduler.Pool
 	waiting map[uint64]*waiter
 	links   map[uint64]*messenger.Link // of the requests with a permit
-	loads   map[pimento.Key]int        // requests for keys since the last report
+	issued  map[uint64]issue
+	loads   map[pimento.Key]int // requests for keys since the last report
+}
+
+// issue is a permit that was given.
+type issue struct {
+	upstream pimento.UpstreamName
+	print    quarantiner.Print
+	at       time.Time
 }
 
 // waiter is a request that waits for a decision.
 type waiter struct {
+	print  quarantiner.Print
 	link   *messenger.Link // nil: of this process
 	call   uint64
 	answer func(scheduler.Decision)
@@ -129,6 +140,7 @@
 		a.runs = make(map[runKey]*run)
 		a.wake = make(chan struct{}, 1)
 		a.board = &Board{}
+		a.crash = quarantiner.New()
 	})
 }
 
@@ -137,6 +149,7 @@
 	a.init()
 	now := time.Now()
 	a.mu.Lock()
+	a.noteRestarts(now, b)
 	a.board = b
 	var decided []func()
 	for key, p := range a.pools {
@@ -210,7 +223,7 @@
 	if !ok {
 		p = &pool{
 			key: key, machine: scheduler.New(a.config(key)), waiting: make(map[uint64]*waiter),
-			links: make(map[uint64]*messenger.Link), loads: make(map[pimento.Key]int),
+			links: make(map[uint64]*messenger.Link), loads: make(map[pimento.Key]int), issued: make(map[uint64]issue),
 		}
 		a.pools[key] = p
 		a.inform(key, p)
@@ -228,6 +241,9 @@
 	p := a.pool(key)
 	a.ticket++
 	t.ID = a.ticket
+	if wait := a.crash.Wait(now, w.print); wait > 0 {
+		return t.ID, []func(){func() { w.answer(scheduler.Decision{Ticket: t.ID, Refusal: quarantined(wait)}) }}
+	}
 	p.waiting[t.ID] = w
 	p.loads[t.Key]++
 	out := p.decide(p.machine.Offer(now, t))
@@ -247,6 +263,9 @@
 			continue
 		}
 		delete(p.waiting, d.Ticket)
+		if d.Refusal == nil {
+			p.issued[d.Ticket] = issue{upstream: d.Upstream, print: w.print, at: time.Now()}
+		}
 		if d.Refusal == nil && w.link != nil {
 			p.links[d.Ticket] = w.link
 		}
@@ -267,8 +286,11 @@
 	a.mu.Lock()
 	var out []func()
 	if p, ok := a.pools[key]; ok {
+		now := time.Now()
+		a.noteEnd(now, p.issued[ticket], r.Kind)
+		delete(p.issued, ticket)
 		delete(p.links, ticket)
-		out = p.decide(p.machine.Done(time.Now(), ticket, r))
+		out = p.decide(p.machine.Done(now, ticket, r))
 	}
 	a.mu.Unlock()
 	runAll(out)
@@ -280,6 +302,7 @@
 	var out []func()
 	if p, ok := a.pools[key]; ok {
 		delete(p.waiting, ticket)
+		delete(p.issued, ticket)
 		out = p.decide(p.machine.Cancel(time.Now(), ticket))
 	}
 	a.mu.Unlock()
--- a/admitter/serve.go
+++ b/admitter/serve.go
@@ -17,7 +17,7 @@
 		Route: q.Route, Priority: q.Priority, Key: q.Key, Domain: q.Domain, Bytes: q.Bytes,
 		Arrived: now, GoalAt: now.Add(q.Goal), Deadline: now.Add(q.Left), Repeat: q.Repeat, Avoid: q.Avoid,
 	}
-	w := &waiter{link: from, call: call}
+	w := &waiter{link: from, call: call, print: q.Print}
 	w.answer = func(d scheduler.Decision) { reply(a.message(d)) }
 	_, out := a.offer(key, t, w)
 	runAll(out)
@@ -118,28 +118,27 @@
 	}
 }
 
-// Report returns the loads of keys since the last report, and what the
-// upstreams of the pools bear.
-func (a *Admitter) Report() ([]messenger.KeyLoad, []messenger.Speed) {
+// Report returns what was measured since the last report: the loads of keys,
+// what the upstreams of the pools bear, and which requests crashed upstreams.
+func (a *Admitter) Report() messenger.Report {
 	a.init()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	var loads []messenger.KeyLoad
-	var speeds []messenger.Speed
+	out := messenger.Report{Strikes: a.crash.Strikes()}
 	for key, p := range a.pools {
 		s, _ := a.board.Service(key.service)
 		if s.Sharing != pimento.SharingKeyed {
 			continue
 		}
 		for k, n := range p.loads {
-			loads = append(loads, messenger.KeyLoad{Service: key.service, Key: k, Count: n})
+			out.Loads = append(out.Loads, messenger.KeyLoad{Service: key.service, Key: k, Count: n})
 		}
 		clear(p.loads)
 		for name, c := range p.machine.Capacities(time.Now()) {
-			speeds = append(speeds, messenger.Speed{Upstream: name, Capacity: c})
+			out.Speeds = append(out.Speeds, messenger.Speed{Upstream: name, Capacity: c})
 		}
 	}
-	return loads, speeds
+	return out
 }
 
 // Upstreams describes the upstreams of the pools that this process dispatches.
--- a/leader/ask.go
+++ b/leader/ask.go
@@ -8,6 +8,7 @@
 	"pimentorelay.example/pimento"
 	"pimentorelay.example/pimento/elector"
 	"pimentorelay.example/pimento/messenger"
+	"pimentorelay.example/pimento/quarantiner"
 	"pimentorelay.example/pimento/timekeeper"
 )
 
@@ -114,19 +115,26 @@
 	}
 	l.elector.Answer(sentAt, m.process.ID, r.Epoch, r.Confirmed)
 	if l.lead != nil {
-		l.lead.takeReport(now, r.Loads, r.Speeds)
+		l.lead.takeReport(now, r.Report)
 	}
 }
 
 // takeReport adds what a member measured.
-func (t *term) takeReport(now time.Time, loads []messenger.KeyLoad, speeds []messenger.Speed) {
-	t.loads.add(now, loads)
-	for _, s := range speeds {
+func (t *term) takeReport(now time.Time, r messenger.Report) {
+	t.loads.add(now, r.Loads)
+	for _, s := range r.Speeds {
 		if old, ok := t.speeds[s.Upstream]; ok {
 			s.Capacity = old + speedShare*(s.Capacity-old)
 		}
 		t.speeds[s.Upstream] = s.Capacity
 	}
+	for _, print := range r.Strikes {
+		if t.crashers.Blame(now, print) {
+			t.blocked = slices.DeleteFunc(t.blocked, func(p quarantiner.Print) bool { return !t.crashers.Blocked(now, p) })
+			t.blocked = append(t.blocked, print)
+			t.versions.Blocked++
+		}
+	}
 }
 
 // speedShare is the weight of a new report of what an upstream bears. Slow
@@ -143,7 +151,7 @@
 			HasStore: l.HasStore(), Versions: l.Member.Versions(),
 		}
 		if confirmed {
-			answer.Loads, answer.Speeds = l.Member.Report()
+			answer.Report = l.Member.Report()
 		}
 		reply(&messenger.Message{AskReply: answer})
 	}
--- a/leader/balance_test.go
+++ b/leader/balance_test.go
@@ -229,7 +229,7 @@
 	for name, c := range f.pool.Capacities(f.time()) {
 		speeds = append(speeds, messenger.Speed{Upstream: name, Capacity: c})
 	}
-	f.term.takeReport(f.time(), list, speeds)
+	f.term.takeReport(f.time(), messenger.Report{Loads: list, Speeds: speeds})
 	if !f.still && f.now-f.planned >= balancePause {
 		f.plan()
 	}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -32,6 +32,7 @@
 	"pimentorelay.example/pimento/elector"
 	"pimentorelay.example/pimento/keeper"
 	"pimentorelay.example/pimento/messenger"
+	"pimentorelay.example/pimento/quarantiner"
 	"pimentorelay.example/pimento/recorder"
 	"pimentorelay.example/pimento/timekeeper"
 )
@@ -78,7 +79,7 @@
 	// it stands in the store.
 	Manifest() (*pimento.Manifest, []byte)
 	// Report returns what this process measured since the last report.
-	Report() ([]messenger.KeyLoad, []messenger.Speed)
+	Report() messenger.Report
 	// Versions returns the versions of the state known here.
 	Versions() messenger.Versions
 }
@@ -129,6 +130,8 @@
 	members   map[pimento.ProcessID]*member
 	upstreams registry
 	loads     loads
+	crashers  *quarantiner.Machine
+	blocked   []quarantiner.Print              // requests that all are to refuse
 	speeds    map[pimento.UpstreamName]float64 // requests a second
 	versions  messenger.Versions
 	owners    []messenger.Owner
@@ -291,6 +294,7 @@
 	}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	t.loads.init()
+	t.crashers = quarantiner.New()
 	l.lead = t
 	l.keeper = keeper.New(l.Keys)
 	l.keeper.Adopt(now, l.assignment)
@@ -316,8 +320,7 @@
 	l.askMembers(now)
 	if !now.Before(t.reportAt) {
 		t.reportAt = now.Add(l.Timing.Ask)
-		loads, speeds := l.Member.Report()
-		t.takeReport(now, loads, speeds)
+		t.takeReport(now, l.Member.Report())
 	}
 	if !t.listing && !now.Before(t.listAt) {
 		l.listUpstreams(now)
--- a/leader/push.go
+++ b/leader/push.go
@@ -119,6 +119,9 @@
 	if have.Owners < t.versions.Owners && l.inLine(id) {
 		out.Owners, some = ownersSince(t.owners, told.owners), true
 	}
+	if have.Blocked < t.versions.Blocked {
+		out.Blocked, some = t.blocked, true
+	}
 	if have.Manifest < t.versions.Manifest {
 		_, out.Manifest = l.Member.Manifest()
 		some = true
--- a/leader/world_test.go
+++ b/leader/world_test.go
@@ -488,16 +488,16 @@
 }
 
 // Report implements Member. A range of hot keys wanders, so that keys move.
-func (p *process) Report() ([]messenger.KeyLoad, []messenger.Speed) {
+func (p *process) Report() messenger.Report {
 	base := int(time.Since(p.w.started)/(4*time.Second)) * 9001
 	var out []messenger.KeyLoad
 	if p.w.isQuiet() {
-		return nil, nil
+		return messenger.Report{}
 	}
 	for i := range 8 {
 		out = append(out, messenger.KeyLoad{Service: simService, Key: pimento.Key((base + i*7) % 65536), Count: 2})
 	}
-	return out, nil
+	return messenger.Report{Loads: out}
 }
 
 // Grant implements Grantor.
--- a/messenger/state.go
+++ b/messenger/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/quarantiner"
 )
 
 // Ask is the question of a leader to a member, several times a second. It
@@ -22,6 +23,7 @@
 	Upstreams uint64
 	Owners    uint64
 	Manifest  uint64
+	Blocked   uint64
 }
 
 // AskReply is the answer of a member.
@@ -31,8 +33,14 @@
 	Leaving   bool // it is shutting down
 	HasStore  bool // it has reached the store lately
 	Versions  Versions
-	Loads     []KeyLoad // since its last reply
-	Speeds    []Speed
+	Report    Report // since its last reply
+}
+
+// Report is what a process measured.
+type Report struct {
+	Loads   []KeyLoad
+	Speeds  []Speed
+	Strikes []quarantiner.Print // requests that crashed an upstream, once for each time
 }
 
 // KeyLoad is how many requests asked for a key.
@@ -63,6 +71,7 @@
 	Upstreams *UpstreamList
 	Owners    *OwnerList
 	Manifest  []byte // as it stands in the store
+	Blocked   []quarantiner.Print
 }
 
 // Roster is which processes there are and which of them dispatch.
@@ -118,6 +127,7 @@
 	Left     time.Duration          `cbor:"9,keyasint"` // until the deadline
 	Repeat   bool                   `cbor:"10,keyasint,omitempty"`
 	Avoid    []pimento.UpstreamName `cbor:"11,keyasint,omitempty"`
+	Print    quarantiner.Print      `cbor:"12,keyasint,omitempty"`
 }
 
 // Permit lets a request go to an upstream.
--- a/request.go
+++ b/request.go
@@ -39,6 +39,7 @@
 	ReasonMisdirected    Reason = "Misdirected"
 	ReasonOverloaded     Reason = "Overloaded"
 	ReasonRetryBudget    Reason = "RetryBudget"
+	ReasonQuarantined    Reason = "Quarantined"
 )
 
 // AnswerHead is everything of an answer but its body.
--- a/route.go
+++ b/route.go
@@ -73,10 +73,7 @@
 // those of the host and, after them, those of any host. The path is as it came
 // on the wire, without a query.
 func (t *RouteTable) Match(host, path string) (*Route, bool) {
-	host = strings.ToLower(host)
-	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
-		host = host[:i]
-	}
+	host = hostName(host)
 	for _, name := range []string{host, ""} {
 		for _, r := range t.hosts[name] {
 			if strings.HasPrefix(path, r.Prefix) {
@@ -86,3 +83,11 @@
 	}
 	return nil, false
 }
+
+// hostName returns the name in a Host header, in lower case and without a port.
+func hostName(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
--- a/router/follower.go
+++ b/router/follower.go
@@ -80,7 +80,7 @@
 }
 
 // Report implements leader.Member.
-func (f *follower) Report() ([]messenger.KeyLoad, []messenger.Speed) {
+func (f *follower) Report() messenger.Report {
 	return f.router.admitter.Report()
 }
 
@@ -106,8 +106,10 @@
 		f.takeOwners(now, s.Owners)
 		f.versions.Owners = s.Versions.Owners
 	}
+	f.versions.Blocked = s.Versions.Blocked
 	board := f.board()
 	f.mu.Unlock()
+	f.router.admitter.Block(s.Blocked)
 	if s.Manifest != nil {
 		f.takeManifest(s.Manifest)
 	}
--- a/wire.go
+++ b/wire.go
@@ -2,7 +2,10 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Request is everything of a caller's request but its body.
@@ -20,6 +23,20 @@
 	BodyLength int64 // bytes, -1 if not known beforehand
 	Deadline   time.Time
 	GoalAt     time.Time // an answer until then has its full worth
+	Print      uint64    // tells what is asked for; see SetPrint
+}
+
+// SetPrint sets Print from what a caller sends again when it asks for the same
+// once more: method, host, path and the beginning of the body.
+func (r *Request) SetPrint(begin []byte) {
+	h := xxhash.New()
+	for _, part := range []string{r.Method, hostName(r.Host), r.Path, strconv.FormatInt(r.BodyLength, 10)} {
+		// Writing to a hash never fails.
+		_, _ = h.WriteString(part)
+		_, _ = h.WriteString("\n")
+	}
+	_, _ = h.Write(begin)
+	r.Print = max(h.Sum64(), 1)
 }
 
 // CallerWire translates between callers' messages and the domain.
