Count a pong that arrives before the write of its ping has returned

The time of a ping was taken after its write, so a pong that came while the process was not scheduled in between counted as older than the ping, and the connection was ended as silent though its peer answers. With one thread at a time, as on the users' machines, that is likely under load. Ruled out: a pong later than 0.4 s (the test's own process answers at once). Test: TestAnswerBeforeTheWriteReturns holds the write back for 50 ms after its bytes have arrived; it failed before and passes.

--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -423,3 +423,44 @@
 	}
 	return len(p), nil
 }
+
+// slowWriter is a connection whose writes return some time after their bytes
+// have arrived, as where a process is not scheduled in between.
+type slowWriter struct{ net.Conn }
+
+// Write implements net.Conn.
+func (c slowWriter) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	time.Sleep(50 * time.Millisecond)
+	return n, err
+}
+
+// TestAnswerBeforeTheWriteReturns holds that a pong counts that arrives before
+// the write of its ping has returned.
+func TestAnswerBeforeTheWriteReturns(t *testing.T) {
+	is := is.New(t)
+	near, far := net.Pipe()
+	defer far.Close()
+	o := &outgoing{out: writer{conn: slowWriter{near}}, waiting: make(map[uint64]chan *Message), heardAt: time.Now(), ended: make(chan struct{})}
+	go o.read(bufio.NewReader(near))
+	go func() {
+		ping, err := readFrame(far)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		pong, err := appendFrame(&Message{Call: ping.Call, Reply: true, Ping: &Ping{}})
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		if _, err := far.Write(pong); err != nil {
+			t.Error(err)
+		}
+		io.Copy(io.Discard, far)
+	}()
+	pingedAt := o.test(time.Time{})
+	time.Sleep(20 * time.Millisecond) // until the pong has been read
+	o.test(pingedAt)
+	is.NoErr(o.err)
+}
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -241,10 +241,11 @@
 		return pingedAt
 	}
 	call, _ := o.begin()
+	now := time.Now() // the answer may come before the write returns
 	if err := o.out.write(&Message{Call: call, Ping: &Ping{}}); err != nil {
 		o.fail(err)
 	}
-	return time.Now()
+	return now
 }
 
 // read takes replies until the connection ends.
