--- a/leader/balance_test.go
+++ b/leader/balance_test.go
@@ -248,9 +248,7 @@
 		in.Upstreams = append(in.Upstreams, partitioner.Upstream{Run: pimento.Run{Upstream: flowName(i)}, Capacity: f.term.speeds[flowName(i)]})
 	}
 	moves := partitioner.Plan(in)
-	if len(moves) > 0 {
-		f.planned = f.now
-	}
+	f.planned = f.now
 	for _, m := range moves {
 		f.moves++
 		f.move(m)
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -118,7 +118,7 @@
 	revision   uint64                                 // of the assignment
 	joinAt     time.Time                              // when to join the leader next
 	termAt     time.Time                              // when the confirmers last changed
-	balancedAt time.Time                              // when keys last moved for balance
+	balancedAt time.Time                              // when the balance was looked at last
 	lead       *term                                  // nil unless this process leads
 }
 
--- a/leader/plan.go
+++ b/leader/plan.go
@@ -16,7 +16,7 @@
 const (
 	// planPause is the time between two looks at whether a change is due.
 	planPause = 120 * time.Millisecond
-	// balancePause is the least time between two plans that move keys of
+	// balancePause is the time between two looks at whether keys should move from
 	// holders that could keep them.
 	balancePause = 500 * time.Millisecond
 	// dirtyPause is how long former holders that hold nothing any more may
@@ -169,7 +169,7 @@
 		}
 		changed = changed || len(moves) > 0
 	}
-	if changed && balance {
+	if balance {
 		l.balancedAt = now
 	}
 	return changed
