--- a/connector/client.go
+++ b/connector/client.go
@@ -96,49 +96,49 @@
 
 // take returns an unused connection that is still good, or nil.
 func (c *Client) take(now time.Time) *conn {
-	for {
-		c.mu.Lock()
-		n := len(c.idle)
-		if n == 0 {
-			c.mu.Unlock()
-			return nil
-		}
-		x := c.idle[n-1]
-		c.idle = c.idle[:n-1]
-		c.mu.Unlock()
-		fresh := now.Before(x.expires)
-		if fresh && x.r.Buffered() == 0 && quiet(x.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for n := len(c.idle) - 1; n >= 0; n-- {
+		x := c.idle[n]
+		c.idle = c.idle[:n]
+		if c.isGood(now, x) {
 			return x
 		}
-		if fresh {
-			c.mu.Lock()
-			c.closedAt = now
-			c.mu.Unlock()
-		}
 		x.Close()
 	}
+	return nil
 }
 
-// prune drops the unused connections that the upstream has closed, and returns
-// when it was last found to have closed one early.
+// prune drops the unused connections that are not good any more, and returns
+// when the upstream was last found to have closed one early.
 func (c *Client) prune(now time.Time) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var kept []*conn
 	for _, x := range c.idle {
-		if quiet(x.Conn) {
+		if c.isGood(now, x) {
 			kept = append(kept, x)
 			continue
 		}
-		if now.Before(x.expires) {
-			c.closedAt = now
-		}
 		x.Close()
 	}
 	c.idle = kept
 	return c.closedAt
 }
 
+// isGood reports whether an unused connection may serve a request, and notes
+// that the upstream has closed one early. The caller holds mu.
+func (c *Client) isGood(now time.Time, x *conn) bool {
+	if !now.Before(x.expires) {
+		return false
+	}
+	if x.r.Buffered() > 0 || !quiet(x.Conn) {
+		c.closedAt = now
+		return false
+	}
+	return true
+}
+
 // put keeps a connection after a whole exchange.
 func (c *Client) put(x *conn) {
 	if x.r.Buffered() > 0 { // bytes after a whole answer belong to no request
@@ -187,12 +187,19 @@
 // Serve sends a request and returns its answer. When ctx ends, the connection
 // is closed, which cancels the request at the upstream.
 func (c *Client) Serve(ctx context.Context, r *pimento.Request, body io.Reader) (pimento.Answer, pimento.AnswerMark, error) {
-	if mark, cold := c.isColdAgain(ctx); cold {
+	now := time.Now()
+	x := c.take(now)
+	if mark, cold := c.isColdAgain(ctx, now); cold {
+		if x != nil {
+			c.put(x)
+		}
 		return pimento.Answer{}, mark, pimento.NotRun(pimento.ReasonRefused, errRestarted.Error())
 	}
-	x, err := c.get(ctx, false)
-	if err != nil {
-		return pimento.Answer{}, pimento.AnswerMark{}, pimento.NotRun(pimento.ReasonUpstreamLost, err.Error())
+	if x == nil {
+		var err error
+		if x, err = c.dial(ctx); err != nil {
+			return pimento.Answer{}, pimento.AnswerMark{}, pimento.NotRun(pimento.ReasonUpstreamLost, err.Error())
+		}
 	}
 	e := &exchange{client: c, conn: x, request: r}
 	e.stop = context.AfterFunc(ctx, func() { x.Close() })
--- a/connector/control.go
+++ b/connector/control.go
@@ -72,14 +72,12 @@
 // isColdAgain asks an upstream that has closed a kept connection early, once,
 // whether it is cold. If so its dispatcher does not know it yet, and is told by
 // the mark: until then it lets as many requests go there as before.
-func (c *Client) isColdAgain(ctx context.Context) (pimento.AnswerMark, bool) {
+func (c *Client) isColdAgain(ctx context.Context, now time.Time) (pimento.AnswerMark, bool) {
 	if c.HealthPath == "" {
 		return pimento.AnswerMark{}, false
 	}
-	now := time.Now()
-	closedAt := c.prune(now)
 	c.mu.Lock()
-	due := closedAt.After(c.askedAt) && now.Sub(closedAt) < suspectFor
+	due := c.closedAt.After(c.askedAt) && now.Sub(c.closedAt) < suspectFor
 	if due {
 		c.askedAt = now
 	}
