Try again soon to lead where no leader is heard and the store is away

They now stay below 0.8 s where no leader is heard, since nobody renews what upstreams hold then. TestOutageCostsFewCalls, TestStrongHostsLead, TestLeavingIsTold pass.

--- a/leader/stand.go
+++ b/leader/stand.go
@@ -18,9 +18,11 @@
 
 const (
 	// standRetry is the time between two tries to lead, and standRetryMost where
-	// the store does not answer.
-	standRetry     = 300 * time.Millisecond
-	standRetryMost = 3 * time.Second
+	// the store does not answer; silentRetryMost if no leader is heard either, so
+	// that nobody renews what upstreams hold.
+	standRetry      = 300 * time.Millisecond
+	standRetryMost  = 3 * time.Second
+	silentRetryMost = 800 * time.Millisecond
 	// voteTimeout bounds a question to an elector.
 	voteTimeout = 350 * time.Millisecond
 	// votePatience is how long a candidate keeps trying to get the votes that
@@ -112,7 +114,7 @@
 		l.post(ctx, func() {
 			if err != nil {
 				l.standing = false
-				l.standAt = timekeeper.Now().Add(l.standPause.Pause())
+				l.standAt = timekeeper.Now().Add(l.retryPause())
 				return
 			}
 			l.standPause.Reset()
@@ -122,6 +124,16 @@
 	}()
 }
 
+// retryPause returns the time until the next try to lead after the store has not
+// answered.
+func (l *Leader) retryPause() time.Duration {
+	pause := l.standPause.Pause()
+	if l.elector.Silence(timekeeper.Now()) > l.Timing.Suspect {
+		return min(pause, jitter(silentRetryMost))
+	}
+	return pause
+}
+
 func (l *Leader) stopStanding() {
 	l.standing = false
 	l.standAt = timekeeper.Now().Add(standRetry + jitter(standRetry))
