Let a leader that lacks the store stay while it ends

Test: TestLeaderEndsWhileTheStoreIsAway: 6 s after the signal all reads through another process are answered; before, none.

--- a/router/serve.go
+++ b/router/serve.go
@@ -118,7 +118,7 @@
 	end := begun.Add(r.bounds.Load().Shutdown - endMargin)
 	quietAt := time.Now()
 	for now := time.Now(); now.Before(end) && now.Sub(quietAt) < lastPause; now = time.Now() {
-		if r.acceptor.Active() > 0 {
+		if r.acceptor.Active() > 0 || r.leader.Leads() && !r.leader.HasStore() {
 			quietAt = now
 		}
 		time.Sleep(finishPause)
