Work out strengths once for each choice of confirmers

Cause: sorting the live processes looked the strength of both up at each comparison, in a list of all processes: 14 million steps at 830 (worked out, not measured). No behaviour changed; tests of elector and leader pass.

--- a/elector/machine.go
+++ b/elector/machine.go
@@ -348,8 +348,12 @@
 // alike, such that confirm already. The strongest come first.
 func (m *Machine) choose(live []pimento.ProcessID) []pimento.ProcessID {
 	list := slices.DeleteFunc(slices.Clone(live), func(id pimento.ProcessID) bool { return id == m.self })
+	strength := make(map[pimento.ProcessID]float64, len(list))
+	for _, id := range list {
+		strength[id] = m.strength(id)
+	}
 	slices.SortFunc(list, func(a, b pimento.ProcessID) int {
-		return cmp.Or(cmp.Compare(m.strength(b), m.strength(a)), m.place(a)-m.place(b), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(strength[b], strength[a]), m.place(a)-m.place(b), cmp.Compare(a, b))
 	})
 	list = slices.Compact(list)
 	return append([]pimento.ProcessID{m.self}, list[:min(len(list), MaxConfirmers-1)]...)
