--- a/leader/ask.go
+++ b/leader/ask.go
@@ -128,10 +128,10 @@
 		}
 		t.speeds[s.Upstream] = s.Capacity
 	}
-	for _, print := range r.Strikes {
-		if t.crashers.Blame(now, print) {
+	for _, p := range r.Strikes {
+		if t.crashers.Blame(now, p) {
 			t.blocked = slices.DeleteFunc(t.blocked, func(p quarantiner.Print) bool { return !t.crashers.Blocked(now, p) })
-			t.blocked = append(t.blocked, print)
+			t.blocked = append(t.blocked, p)
 			t.versions.Blocked++
 		}
 	}
--- a/quarantiner/machine.go
+++ b/quarantiner/machine.go
@@ -77,9 +77,9 @@
 
 // Broke says that the connection of a request to an upstream broke without an
 // answer.
-func (m *Machine) Broke(now time.Time, upstream pimento.UpstreamName, print Print) {
-	if print != 0 && !m.down[upstream] && len(m.suspects[upstream]) < maxPrints {
-		m.suspects[upstream] = append(m.suspects[upstream], suspect{print: print, at: now})
+func (m *Machine) Broke(now time.Time, upstream pimento.UpstreamName, p Print) {
+	if p != 0 && !m.down[upstream] && len(m.suspects[upstream]) < maxPrints {
+		m.suspects[upstream] = append(m.suspects[upstream], suspect{print: p, at: now})
 	}
 }
 
@@ -112,8 +112,8 @@
 
 // Answered says that an upstream answered a request that was sent at sentAt. So
 // it was up then, and the request did not crash it.
-func (m *Machine) Answered(upstream pimento.UpstreamName, sentAt time.Time, print Print) {
-	delete(m.blames, print)
+func (m *Machine) Answered(upstream pimento.UpstreamName, sentAt time.Time, p Print) {
+	delete(m.blames, p)
 	delete(m.down, upstream)
 	if list, ok := m.suspects[upstream]; ok && sentAt.After(list[len(list)-1].at) {
 		delete(m.suspects, upstream)
@@ -122,33 +122,33 @@
 
 // Blame counts a crash, and reports whether the request is refused from now on
 // that was not before.
-func (m *Machine) Blame(now time.Time, print Print) bool {
+func (m *Machine) Blame(now time.Time, p Print) bool {
 	m.forget(now)
-	b := m.blames[print]
+	b := m.blames[p]
 	b.crashes++
 	b.at = now
-	m.blames[print] = b
-	if b.crashes < Limit || m.Blocked(now, print) {
+	m.blames[p] = b
+	if b.crashes < Limit || m.Blocked(now, p) {
 		return false
 	}
-	m.Block(now, print)
+	m.Block(now, p)
 	return true
 }
 
 // Block refuses a request for a while, as others found out.
-func (m *Machine) Block(now time.Time, print Print) { m.blocked[print] = now.Add(blockTime) }
+func (m *Machine) Block(now time.Time, p Print) { m.blocked[p] = now.Add(blockTime) }
 
 // Blocked reports whether a request was found to crash upstreams.
-func (m *Machine) Blocked(now time.Time, print Print) bool { return now.Before(m.blocked[print]) }
+func (m *Machine) Blocked(now time.Time, p Print) bool { return now.Before(m.blocked[p]) }
 
 // Wait returns how long a request is to be refused, zero if it may go. One
 // whose connections broke so often that it may be to blame waits until that is
 // known.
-func (m *Machine) Wait(now time.Time, print Print) time.Duration {
-	if m.Blocked(now, print) {
-		return m.blocked[print].Sub(now)
+func (m *Machine) Wait(now time.Time, p Print) time.Duration {
+	if m.Blocked(now, p) {
+		return m.blocked[p].Sub(now)
 	}
-	if m.open(now, print)+m.blames[print].crashes >= Limit {
+	if m.open(now, p)+m.blames[p].crashes >= Limit {
 		return doubtPause
 	}
 	return 0
@@ -156,11 +156,11 @@
 
 // open returns at how many upstreams connections of a request broke of which it
 // is not known yet whether they crashed.
-func (m *Machine) open(now time.Time, print Print) int {
+func (m *Machine) open(now time.Time, p Print) int {
 	n := 0
 	for _, list := range m.suspects {
 		for _, s := range list {
-			if s.print == print && now.Sub(s.at) <= confirmTime {
+			if s.print == p && now.Sub(s.at) <= confirmTime {
 				n++
 				break
 			}
