Wait long enough for stronger hosts to stand

Worked out from the constants, not traced: processes start up to 0.25 s apart, and a candidate waits 0.35 s for votes of processes that are gone, so that a strong one may need 0.6 s, while weaker ones waited 0.5 s. The check is unchanged.

--- a/leader/stand.go
+++ b/leader/stand.go
@@ -30,8 +30,9 @@
 	// decides; before, a part that is cut off would end the term of the others.
 	votePatience = 7 * time.Second
 	// strongerPause is how long a process waits for others on stronger hosts to
-	// stand before it does.
-	strongerPause = 500 * time.Millisecond
+	// stand before it does: they may start 0.3 s later, and ask for votes of
+	// processes that are gone.
+	strongerPause = 800 * time.Millisecond
 	// strongerBy is how many times as strong a host must be to be waited for.
 	strongerBy = 1.5
 	// writeRetry is the time after a write that got no answer.
