Let a process that is ending be killed again

The test's deployment kills what still runs at its end, and an entry that the test had just killed had not returned yet; Router.Kill closed its channel twice. Not seen in 12 repeats alone. TestKillTwice holds it.

--- a/router/follower_test.go
+++ b/router/follower_test.go
@@ -131,3 +131,12 @@
 	}
 	return ""
 }
+
+// TestKillTwice holds that a process that is ending may be killed again.
+func TestKillTwice(*testing.T) {
+	r := newRouter()
+	r.killed = make(chan struct{}) // as Run does
+	r.Kill()
+	r.Kill()
+	<-r.killed
+}
--- a/router/router.go
+++ b/router/router.go
@@ -20,6 +20,7 @@
 	"net"
 	"net/netip"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -80,6 +81,7 @@
 	leader    *leader.Leader
 	follower  *follower
 	leaving   atomic.Bool
+	killing   sync.Once
 	killed    chan struct{}
 }
 
@@ -113,7 +115,7 @@
 
 // Kill ends the process as a crash would, without a word to anybody. It is for
 // tests.
-func (r *Router) Kill() { close(r.killed) }
+func (r *Router) Kill() { r.killing.Do(func() { close(r.killed) }) }
 
 // Process returns the process as it is registered.
 func (r *Router) Process() pimento.Process { return r.self }
