Follow a manifest through all processes in logs and metrics

Cause: the logs had one line a process (2014), without origin, size or duration, and nothing about the sending.

Change: 2014 says from where a manifest came, at which revision, how large it is, how long decoding took and how long the leader had told of it. The leader says when all members have it (2016), which lack it after a second and why (2017), and which state was not confirmed (2018); each process names the first request under it (2019).

--- a/event.go
+++ b/event.go
@@ -26,6 +26,10 @@
 	EventWriteConflict   EventNumber = 2013
 	EventManifestAdopted EventNumber = 2014
 	EventJoinFailed      EventNumber = 2015
+	EventManifestSpread  EventNumber = 2016
+	EventManifestMissing EventNumber = 2017
+	EventStateNotTaken   EventNumber = 2018
+	EventManifestUsed    EventNumber = 2019
 	EventUpstreamLost    EventNumber = 5001
 	EventUpstreamBack    EventNumber = 5002
 	EventRecordsLost     EventNumber = 5004
@@ -60,6 +64,10 @@
 	EventWriteConflict:   "assignment was written by another process",
 	EventManifestAdopted: "manifest learned",
 	EventJoinFailed:      "the leader could not be told of this process",
+	EventManifestSpread:  "manifest is in force at all members",
+	EventManifestMissing: "members lack the manifest",
+	EventStateNotTaken:   "a member has not confirmed a state",
+	EventManifestUsed:    "first request under a manifest",
 	EventUpstreamLost:    "upstream lost",
 	EventUpstreamBack:    "upstream answers again",
 	EventRecordsLost:     "request records may be lost",
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -1,5 +1,6 @@
 // Package explainer reports from the logs of any number of processes what
-// happened to one request, and what the processes involved knew at the time.
+// happened to one request, and what the processes involved knew at the time, or
+// how one version of the manifest came into force.
 //
 // It reads the JSON lines that package recorder writes, with or without a prefix.
 // The logs may be in any order, in one stream or several.
@@ -10,6 +11,7 @@
 //	if err := l.Read(file); err != nil { ... }
 //	report, ok := l.Explain("9c41d07be2a35f68")
 //	report.Write(os.Stdout)
+//	manifest, ok := l.ExplainManifest(12)
 package explainer
 
 import (
--- a/leader/cluster_test.go
+++ b/leader/cluster_test.go
@@ -481,6 +481,9 @@
 }
 
 // Versions implements Member.
+// Announced implements Member.
+func (simMember) Announced(messenger.Versions) {}
+
 func (p *process) Versions() messenger.Versions {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/leader/heartbeat.go
+++ b/leader/heartbeat.go
@@ -147,6 +147,9 @@
 	l.inbox <- func() {
 		now := timekeeper.Now()
 		confirmed := l.elector.HandleHeartbeat(now, elector.Heartbeat{From: from, Term: q.Term, StoreLost: q.StoreLost})
+		if confirmed {
+			l.Member.Announced(q.Versions)
+		}
 		answer := &messenger.HeartbeatReply{
 			Epoch: l.elector.Term().Epoch, Confirmed: confirmed, Leaving: l.leaving.Load(),
 			HasStore: l.StoreReachable(), Versions: l.Member.Versions(),
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -82,6 +82,9 @@
 	Report() messenger.Report
 	// Versions returns the versions of the state that this process has.
 	Versions() messenger.Versions
+	// Announced is called with the versions that the leader has, as its
+	// heartbeats say.
+	Announced(v messenger.Versions)
 }
 
 // Leader takes part in elections and leads while elected. Set the exported
@@ -96,6 +99,9 @@
 	ElectorTiming elector.Timing
 	KeeperTiming  keeper.Timing
 	Grantor       Grantor
+	// OnStateSent is called after a state was sent to a member, with the size of
+	// the manifest in it in bytes; it may be nil.
+	OnStateSent func(manifestBytes int, took time.Duration, err error)
 
 	inbox           chan func()
 	elector         *elector.Machine
@@ -136,7 +142,8 @@
 	versions     messenger.Versions
 	owners       []messenger.Owner
 	roster       *messenger.Roster
-	selfSnapshot snapshot                                // state last applied to this process itself
+	selfSnapshot snapshot // state last applied to this process itself
+	spread       spread
 	servers      map[pimento.UpstreamName]pimento.Server // last known
 	queues       map[pimento.UpstreamName]*queue
 	lost         map[pimento.UpstreamName]pimento.Run // lost runs, until a probe reaches them
--- a/leader/push.go
+++ b/leader/push.go
@@ -63,6 +63,7 @@
 			l.sendState(m, state)
 		}
 	}
+	l.reportSpread(now)
 }
 
 // updateRoster rebuilds the roster and raises its version if processes or pools
@@ -176,7 +177,9 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(t.ctx, pushTimeout)
 		defer cancel()
+		sentAt := time.Now()
 		reply, err := l.Peers.Call(ctx, m.process, &messenger.Message{State: state})
+		l.observeState(m, state, time.Since(sentAt), err)
 		l.postTerm(t, func() {
 			m.pushing = false
 			if err == nil && reply.State != nil && reply.State.Versions.Epoch == l.elector.Term().Epoch {
--- a/router/follower.go
+++ b/router/follower.go
@@ -18,19 +18,10 @@
 )
 
 const (
-	// manifestWatchTimeout bounds one watch for a manifest. It is short because
-	// a watch may miss changes.
-	manifestWatchTimeout = time.Second
 	// minStoreRetry and maxStoreRetry bound the backoff after failed calls to
 	// the store.
 	minStoreRetry = 250 * time.Millisecond
 	maxStoreRetry = 2 * time.Second
-	// manifestWatchInterval is the pause between two watches, so that manifests
-	// in quick succession cost few calls.
-	manifestWatchInterval = 150 * time.Millisecond
-	// leaderCheckInterval is the time between two checks whether a leader sends
-	// manifests to this process.
-	leaderCheckInterval = 100 * time.Millisecond
 	// stateReadInterval is the time between two reads of the state by a process
 	// without a leader.
 	stateReadInterval = 500 * time.Millisecond
@@ -45,6 +36,7 @@
 	mu              sync.Mutex
 	versions        messenger.Versions
 	encodedManifest []byte // as stored
+	announced       announcement
 	roster          *messenger.Roster
 	upstreams       map[pimento.UpstreamName]pimento.Server
 	domainsOut      []pimento.DomainName // that get no work
@@ -52,26 +44,6 @@
 	readFromStore   bool // upstreams were read from the store, without a leader
 }
 
-// limits returns the limits in force, or the defaults if there is no manifest.
-func (f *follower) limits() pimento.Limits {
-	if v := f.view.Load(); v != nil {
-		return v.Manifest.Limits
-	}
-	var m pimento.Manifest
-	m.Defaults()
-	return m.Limits
-}
-
-// Manifest implements leader.Member.
-func (f *follower) Manifest() (*pimento.Manifest, []byte) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if v := f.view.Load(); v != nil {
-		return v.Manifest, f.encodedManifest
-	}
-	return nil, nil
-}
-
 // Versions implements leader.Member.
 func (f *follower) Versions() messenger.Versions {
 	f.mu.Lock()
@@ -111,7 +83,7 @@
 	f.mu.Unlock()
 	f.router.admitter.Block(s.Blocked)
 	if s.Manifest != nil {
-		f.adoptManifest(s.Manifest)
+		f.adoptManifest(s.Manifest, manifestOrigin{From: string(f.router.leader.Term().Leader)})
 	}
 	f.router.admitter.Update(snapshot)
 	if s.Roster != nil {
@@ -230,65 +202,6 @@
 	return s
 }
 
-// watchManifest reads manifests from the store until ctx ends. A process that
-// has a manifest and follows a leader receives new ones from the leader.
-func (f *follower) watchManifest(ctx context.Context) error {
-	var revision uint64
-	backoff := timekeeper.Backoff{Initial: minStoreRetry, Max: maxStoreRetry}
-	for ctx.Err() == nil {
-		if f.router.leader.HasLeader() && !f.router.leader.IsLeader() && f.view.Load() != nil {
-			revision = 0
-			sleep(ctx, leaderCheckInterval)
-			continue
-		}
-		next, err := f.awaitManifest(ctx, revision)
-		revision = next
-		if err != nil {
-			sleep(ctx, backoff.Pause())
-			continue
-		}
-		backoff.Reset()
-		f.router.leader.StoreAnswered()
-		sleep(ctx, manifestWatchInterval)
-	}
-	return ctx.Err()
-}
-
-// awaitManifest waits for a manifest after a revision and adopts it. It returns
-// the revision to continue from.
-func (f *follower) awaitManifest(ctx context.Context, after uint64) (uint64, error) {
-	value, revision, err := f.router.Source.Manifest(ctx, after, manifestWatchTimeout)
-	if err != nil {
-		return 0, err // zero: the next call reads the manifest without waiting
-	}
-	if value == nil {
-		return revision, nil
-	}
-	f.adoptManifest(value)
-	return revision, nil
-}
-
-// adoptManifest decodes a stored manifest and puts it in force if it is newer
-// than the one in force.
-func (f *follower) adoptManifest(value []byte) {
-	m, err := f.router.Source.DecodeManifest(value)
-	if err != nil {
-		f.router.events.Emit(pimento.EventConfigInvalid, "Name", "manifest", "Cause", err)
-		return
-	}
-	f.mu.Lock()
-	if old := f.view.Load(); old != nil && old.Manifest.Version >= m.Version {
-		f.mu.Unlock()
-		return
-	}
-	f.view.Store(&forwarder.View{Manifest: &m, Routes: pimento.NewRouteTable(m.Routes)})
-	f.encodedManifest, f.versions.Manifest = value, m.Version
-	snapshot := f.snapshot()
-	f.mu.Unlock()
-	f.router.events.Emit(pimento.EventManifestAdopted, "Version", m.Version, "Routes", len(m.Routes), "Services", len(m.Services))
-	f.router.admitter.Update(snapshot)
-}
-
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/router/follower_test.go
+++ b/router/follower_test.go
@@ -60,7 +60,7 @@
 		text    string
 		version uint64
 	}{{"5", 5}, {"4", 5}, {"5", 5}, {"bad", 5}, {"9", 9}, {"8", 9}} {
-		r.follower.adoptManifest([]byte(x.text))
+		r.follower.adoptManifest([]byte(x.text), manifestOrigin{From: originStore})
 		is.Equal(r.follower.view.Load().Manifest.Version, x.version)
 		is.Equal(r.follower.Versions().Manifest, x.version)
 	}
@@ -74,7 +74,7 @@
 	is := is.New(t)
 	r := newRouter()
 	is.Equal(readyStatus(r), http.StatusServiceUnavailable)
-	r.follower.adoptManifest([]byte("1"))
+	r.follower.adoptManifest([]byte("1"), manifestOrigin{From: originStore})
 	is.Equal(readyStatus(r), http.StatusServiceUnavailable)
 	r.follower.Apply(&messenger.State{
 		Versions: messenger.Versions{Epoch: 1, Upstreams: 1}, Upstreams: &messenger.UpstreamList{Whole: true},
--- a/router/observer.go
+++ b/router/observer.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -18,6 +19,8 @@
 	events  *recorder.Recorder
 	metrics *metrics.Set
 	epoch   func() uint64 // of the latest known term
+
+	usedManifest atomic.Uint64 // latest version under which a request has ended
 }
 
 var _ forwarder.Observer = (*observer)(nil)
@@ -30,6 +33,7 @@
 
 // Ended implements forwarder.Observer.
 func (o *observer) Ended(r *pimento.Request, t *forwarder.Trace, status int, err error) {
+	o.reportUse(r, t)
 	route := pimento.RouteName("")
 	if r.Route != nil {
 		route = r.Route.Name
@@ -48,6 +52,40 @@
 	o.events.LogOnly(eventNumber(out), append(o.requestAttributes(r, t), outcomeAttributes(err)...)...)
 }
 
+// reportUse reports the first request that was handled under a version of the
+// manifest.
+func (o *observer) reportUse(r *pimento.Request, t *forwarder.Trace) {
+	used := o.usedManifest.Load()
+	if t.Manifest > used && o.usedManifest.CompareAndSwap(used, t.Manifest) {
+		o.events.Emit(pimento.EventManifestUsed, "Version", t.Manifest, "Request", r.ID, "Began", roundToMillis(time.Since(t.StartedAt)))
+	}
+}
+
+// The results of decoding a manifest.
+const (
+	manifestAdopted = "Adopted"
+	manifestOld     = "Old"
+	manifestInvalid = "Invalid"
+)
+
+// manifestDecoded records the decoding of a manifest.
+func (o *observer) manifestDecoded(result string, took time.Duration) {
+	o.observeDuration("relay_manifest_decode_seconds", took, "Result", result)
+}
+
+// stateSent records a state that was sent to another process.
+func (o *observer) stateSent(manifestBytes int, took time.Duration, err error) {
+	result := "Confirmed"
+	if err != nil {
+		result = "NotConfirmed"
+	}
+	o.observeDuration("relay_state_send_seconds", took, "Result", result)
+	if manifestBytes > 0 {
+		o.count("relay_manifests_sent_total", "Result", result)
+		o.metrics.GetOrCreateCounter("relay_manifest_sent_bytes_total").Add(manifestBytes)
+	}
+}
+
 // countRequest records the outcome and duration of a request.
 func (o *observer) countRequest(route pimento.RouteName, outcome pimento.Outcome, reason pimento.Reason, t *forwarder.Trace) {
 	o.count("relay_requests_total", "Route", route, "Outcome", outcome, "Reason", reason)
--- a/router/operators.go
+++ b/router/operators.go
@@ -36,6 +36,7 @@
 		"relay_store_reached":      func() float64 { return gaugeValue(r.leader.StoreReachable()) },
 		"relay_epoch":              func() float64 { return float64(r.leader.Term().Epoch) },
 		"relay_manifest_version":   func() float64 { return float64(r.follower.Versions().Manifest) },
+		"relay_manifest_announced": func() float64 { return float64(r.follower.announcedVersion()) },
 		"relay_unheld_keys":        func() float64 { return float64(r.follower.unheldKeys()) },
 		"relay_waiting_requests":   func() float64 { return float64(r.admitter.Waiting()) },
 		"relay_active_requests":    func() float64 { return float64(r.acceptor.Active()) },
