Let no watch that heard nothing skip a change

What callers saw: a changed manifest, or a failure domain taken out, could stay unknown to all processes until the next change, long past config_apply_s.

Cause: a watch without events returned the store's current revision, and the next watch started there. Whatever changed in between was never reported. Class: an answer that says nothing was taken for news.

Our stand-in's Deaf watches and the users' platform_compact behave so; whether this is what operators saw is not known.

If the history from there is gone, the entries are read at once instead of after a pause.

--- a/store.go
+++ b/store.go
@@ -29,7 +29,10 @@
 	Removed bool
 }
 
-// Changes are the changes of a kind up to a revision of the store.
+// Changes are the changes of a kind up to a revision of the store. Without any,
+// Revision is the one that the watch started from: a watch that reports nothing may
+// have missed changes, and the next one reports them only if it does not start
+// behind them.
 type Changes struct {
 	Changes  []Change
 	Revision uint64
--- a/surveyor/surveyor.go
+++ b/surveyor/surveyor.go
@@ -174,21 +174,25 @@
 	return out, true, revision, nil
 }
 
-// await waits until the configuration changes after a revision, not at all for
-// revision zero, and returns the revision to continue from.
+// await waits until the configuration changes after a revision, and returns the
+// revision to continue from. It does not wait for revision zero, or if the history
+// since the revision is gone.
 func (s *Surveyor) await(ctx context.Context, after uint64, wait time.Duration) (uint64, bool, error) {
-	if after == 0 {
-		list, err := s.Store.List(ctx, KindConfig, pimento.FreshnessLatest)
-		if err != nil {
+	if after > 0 {
+		changes, err := s.Store.Watch(ctx, KindConfig, after, wait)
+		var gone *pimento.HistoryGoneError
+		if err == nil {
+			return changes.Revision, len(changes.Changes) > 0, nil
+		}
+		if !errors.As(err, &gone) {
 			return 0, false, fmt.Errorf("Surveyor.await: %w", err)
 		}
-		return list.Revision, true, nil
 	}
-	changes, err := s.Store.Watch(ctx, KindConfig, after, wait)
+	list, err := s.Store.List(ctx, KindConfig, pimento.FreshnessLatest)
 	if err != nil {
 		return 0, false, fmt.Errorf("Surveyor.await: %w", err)
 	}
-	return changes.Revision, len(changes.Changes) > 0, nil
+	return list.Revision, true, nil
 }
 
 // Manifest implements pimento.Source.
