--- a/forwarder/share_test.go
+++ b/forwarder/share_test.go
@@ -34,3 +34,36 @@
 		}
 	}
 }
+
+// TestSharesWithFewRequestsAProcess guards against processes that all begin a
+// weighted route with the same service, so that its share is too large over all of
+// them while each has handled only a few requests.
+func TestSharesWithFewRequestsAProcess(t *testing.T) {
+	const maxDeviation = 0.1 // the share that operators accept
+	for _, c := range []struct {
+		processes, requests int
+	}{{830, 1}, {80, 4}, {80, 6}} {
+		for _, weights := range [][]int{{1, 1}, {75, 25}, {90, 10}, {50, 30, 20}, {1, 0}, {7000, 3000}} {
+			r := &pimento.Route{Name: "r"}
+			sum := 0
+			for i, w := range weights {
+				r.Targets = append(r.Targets, pimento.Target{Service: pimento.ServiceName('a' + rune(i)), Weight: w})
+				sum += w
+			}
+			got := make(map[pimento.ServiceName]int)
+			for range c.processes {
+				f := &Forwarder{}
+				for range c.requests {
+					got[f.nextTarget(r)]++
+				}
+			}
+			for _, target := range r.Targets {
+				share := float64(got[target.Service]) / float64(c.processes*c.requests)
+				weight := float64(target.Weight) / float64(sum)
+				if share < weight-maxDeviation || share > weight+maxDeviation {
+					t.Errorf("%d processes with %d requests each, weights %v: %s has a share of %.2f", c.processes, c.requests, weights, target.Service, share)
+				}
+			}
+		}
+	}
+}
