Compute changes only from a state that the member has

What had changed and changed back was never sent. A state without a reply was also sent again whole at once, manifest included, to the very member that was too slow to answer.

Evidence: TestChangesAfterALostReply failed in the cases reply to the change lost and both replies lost: the upstream stayed Leaving.

--- a/leader/heartbeat.go
+++ b/leader/heartbeat.go
@@ -31,9 +31,10 @@
 	leaving          bool
 	heartbeatAt      time.Time
 	heartbeatPending bool
-	versions         messenger.Versions // as last reported; zero after a state without a reply
+	versions         messenger.Versions // as last reported
 	acked            snapshot
 	pushing          bool
+	unconfirmed      bool // a state got no reply, and no heartbeat has since
 }
 
 // silent reports whether a member has missed too many heartbeats or has not
@@ -107,6 +108,7 @@
 // handleHeartbeatReply handles a member's reply to a heartbeat.
 func (l *Leader) handleHeartbeatReply(now, sentAt time.Time, m *member, r *messenger.HeartbeatReply) {
 	m.lastReplyAt, m.missedHeartbeats, m.leaving, m.hasReplied = now, 0, r.Leaving, true
+	m.unconfirmed = false
 	switch {
 	case m.pushing: // the reply may be older than the state being sent
 	case r.Versions.Epoch == l.elector.Term().Epoch:
--- a/leader/push.go
+++ b/leader/push.go
@@ -37,8 +37,10 @@
 	}
 }
 
-// snapshot holds the parts of the state that a member last acknowledged.
+// snapshot holds the parts of the state that a member last acknowledged. Changes
+// are computed from them, and only for a member that has exactly these versions.
 type snapshot struct {
+	versions  messenger.Versions // of upstreams and owners; zero: unknown
 	upstreams []pimento.Server
 	owners    []messenger.Owner
 }
@@ -50,16 +52,16 @@
 	t.versions.Upstreams = t.upstreams.version
 	t.versions.Manifest = l.Member.Versions().Manifest
 	l.updateRoster()
-	if state := l.missingState(l.Self.ID, l.Member.Versions(), &t.selfSnapshot); state != nil {
+	if state := l.missingState(l.Self.ID, l.Member.Versions(), t.selfSnapshot); state != nil {
 		l.Member.Apply(state)
 		t.selfSnapshot = l.snapshot(state, t.selfSnapshot)
 	}
 	now := timekeeper.Now()
 	for _, m := range t.members {
-		if m.pushing || m.missedHeartbeats > 0 || m.silent(now) {
+		if m.pushing || m.unconfirmed || m.missedHeartbeats > 0 || m.silent(now) {
 			continue
 		}
-		if state := l.missingState(m.process.ID, m.versions, &m.acked); state != nil {
+		if state := l.missingState(m.process.ID, m.versions, m.acked); state != nil {
 			l.sendState(m, state)
 		}
 	}
@@ -101,15 +103,15 @@
 
 // missingState returns the parts of the state that are newer than a member's
 // versions, nil if there are none.
-func (l *Leader) missingState(id pimento.ProcessID, have messenger.Versions, acked *snapshot) *messenger.State {
+func (l *Leader) missingState(id pimento.ProcessID, have messenger.Versions, acked snapshot) *messenger.State {
 	t := l.term
 	if have.Epoch != t.versions.Epoch {
 		have = messenger.Versions{Manifest: have.Manifest}
 	}
-	if have.Upstreams == 0 {
+	if have.Upstreams != acked.versions.Upstreams {
 		acked.upstreams = nil
 	}
-	if have.Owners == 0 {
+	if have.Owners != acked.versions.Owners {
 		acked.owners = nil
 	}
 	out := &messenger.State{Versions: t.versions}
@@ -139,10 +141,10 @@
 // snapshot returns the snapshot of a member after it has applied a state.
 func (l *Leader) snapshot(s *messenger.State, before snapshot) snapshot {
 	if s.Upstreams != nil {
-		before.upstreams = l.term.upstreams.published
+		before.upstreams, before.versions.Upstreams = l.term.upstreams.published, s.Versions.Upstreams
 	}
 	if s.Owners != nil {
-		before.owners = l.term.owners
+		before.owners, before.versions.Owners = l.term.owners, s.Versions.Owners
 	}
 	return before
 }
@@ -186,8 +188,8 @@
 				m.versions, m.acked = reply.State.Versions, after
 				return
 			}
-			// Whether it was applied is unknown, so everything is sent again.
-			m.versions = messenger.Versions{}
+			// The next reply to a heartbeat says whether it was applied.
+			m.unconfirmed, m.acked = true, snapshot{}
 		})
 	}()
 }
--- /dev/null
+++ b/leader/push_test.go
@@ -0,0 +1,190 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/elector"
+	"pimentorelay.example/pimento/messenger"
+	"pimentorelay.example/pimento/recorder"
+	"pimentorelay.example/pimento/timekeeper"
+)
+
+// delivery says what happens to a state that is sent to a member.
+type delivery string
+
+const (
+	delivered delivery = "delivered"
+	noReply   delivery = "no reply" // it is applied, and the reply is lost
+	lost      delivery = "lost"
+)
+
+var errLostReply = errors.New("the reply was lost")
+
+// fakePeers passes states to one receiver.
+type fakePeers struct {
+	to       *receiver
+	next     delivery
+	received []*messenger.State
+}
+
+func (p *fakePeers) Call(_ context.Context, _ pimento.Process, m *messenger.Message) (*messenger.Message, error) {
+	if p.next == lost {
+		return nil, errLostReply
+	}
+	p.received = append(p.received, m.State)
+	p.to.apply(m.State)
+	if p.next == noReply {
+		return nil, errLostReply
+	}
+	return &messenger.Message{State: &messenger.State{Versions: p.to.versions}}, nil
+}
+
+func (p *fakePeers) Send(context.Context, pimento.Process, *messenger.Message) error { return nil }
+func (p *fakePeers) Forget(pimento.ProcessID)                                        {}
+
+// receiver is the follower side of a member, reduced to what it knows.
+type receiver struct {
+	versions  messenger.Versions
+	upstreams map[pimento.UpstreamName]pimento.State
+	ready     map[pimento.KeyRange]bool
+}
+
+func (r *receiver) apply(s *messenger.State) {
+	if s.Upstreams != nil {
+		if s.Upstreams.Whole {
+			r.upstreams = make(map[pimento.UpstreamName]pimento.State)
+		}
+		for _, u := range s.Upstreams.Upstreams {
+			r.upstreams[u.Name] = u.State
+		}
+	}
+	if s.Owners != nil {
+		if s.Owners.Whole {
+			r.ready = make(map[pimento.KeyRange]bool)
+		}
+		for _, o := range s.Owners.Owners {
+			r.ready[o.Range] = o.Ready
+		}
+	}
+	manifest := r.versions.Manifest
+	r.versions = s.Versions
+	if s.Manifest == nil {
+		r.versions.Manifest = manifest
+	}
+}
+
+// pushTest is a leader with one member, driven step by step.
+type pushTest struct {
+	leader   *Leader
+	member   *member
+	peers    *fakePeers
+	receiver *receiver
+	manifest fixedMember
+}
+
+// fixedMember is the follower side of the leader's own process.
+type fixedMember struct {
+	version uint64
+	encoded []byte
+}
+
+func (m *fixedMember) Apply(*messenger.State)       {}
+func (m *fixedMember) Report() messenger.Report     { return messenger.Report{} }
+func (m *fixedMember) Announced(messenger.Versions) {}
+func (m *fixedMember) Versions() messenger.Versions { return messenger.Versions{Manifest: m.version} }
+func (m *fixedMember) Manifest() (*pimento.Manifest, []byte) {
+	return &pimento.Manifest{Version: m.version}, m.encoded
+}
+
+func newPushTest(t *testing.T) *pushTest {
+	t.Helper()
+	p := &pushTest{receiver: &receiver{}}
+	p.peers = &fakePeers{to: p.receiver, next: delivered}
+	a, b := proc("a", "a-1"), proc("b", "b-1")
+	l := &Leader{Self: a, Peers: p.peers, Member: &p.manifest, Events: &recorder.Recorder{}, ElectorTiming: elector.DefaultTiming()}
+	l.Init()
+	l.elector = elector.New(a.ID, l.ElectorTiming)
+	now := timekeeper.Now()
+	l.elector.AdoptTerm(now, pimento.Term{Epoch: 1, Leader: a.ID, Confirmers: []pimento.ProcessID{a.ID}})
+	l.assignment = &pimento.Assignment{
+		Members: []pimento.Member{{Process: a}, {Process: b}},
+		Pools:   []pimento.Pool{{Service: simService, PreferenceList: []pimento.ProcessID{a.ID, b.ID}}},
+		Tables:  []pimento.Table{{Service: simService}},
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	p.member = &member{process: b, lastReplyAt: now, hasReplied: true}
+	l.term = &term{ctx: ctx, cancel: cancel, members: map[pimento.ProcessID]*member{b.ID: p.member}}
+	p.leader = l
+	return p
+}
+
+// set changes the state of the only upstream and of the only range of keys.
+func (p *pushTest) set(state pimento.State, ready bool) {
+	t := p.leader.term
+	t.upstreams.version++
+	t.upstreams.published = []pimento.Server{{Name: "u1", State: state}}
+	t.versions.Owners++
+	t.owners = []messenger.Owner{{Service: simService, Range: pimento.KeyRange{From: 0, To: 99}, Upstream: "u1", Ready: ready}}
+}
+
+// push sends what the member lacks and waits for the end of the call.
+func (p *pushTest) push(d delivery) {
+	p.peers.next = d
+	p.leader.push()
+	if !p.member.pushing {
+		return
+	}
+	(<-p.leader.inbox)()
+}
+
+// heartbeat delivers the member's reply to a heartbeat.
+func (p *pushTest) heartbeat() {
+	now := timekeeper.Now()
+	p.leader.handleHeartbeatReply(now, now, p.member, &messenger.HeartbeatReply{Epoch: 1, Confirmed: true, Versions: p.receiver.versions})
+}
+
+// TestChangesAfterALostReply guards against changes that are computed from a state
+// which the member no longer has, because the reply to a later one was lost. What
+// has changed back in between would never be sent.
+func TestChangesAfterALostReply(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		changes []delivery // of a leaving upstream whose keys are not ready, and of its return
+		beats   bool       // a heartbeat is answered after each change
+	}{
+		{"all delivered", []delivery{delivered, delivered}, true},
+		{"reply to the change lost", []delivery{noReply, delivered}, true},
+		{"reply to the change lost, no heartbeat", []delivery{noReply, delivered}, false},
+		{"change lost", []delivery{lost, delivered}, true},
+		{"change lost, no heartbeat", []delivery{lost, delivered}, false},
+		{"reply to the return lost", []delivery{delivered, noReply}, true},
+		{"both replies lost", []delivery{noReply, noReply}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPushTest(t)
+			p.set(pimento.StateArriving, true)
+			p.push(delivered)
+			p.heartbeat()
+			for i, d := range c.changes {
+				p.set([]pimento.State{pimento.StateLeaving, pimento.StateArriving}[i], i == 1)
+				p.push(d)
+				if c.beats {
+					p.heartbeat()
+				}
+			}
+			p.heartbeat()
+			p.push(delivered)
+			is.Equal(p.receiver.versions.Upstreams, p.leader.term.versions.Upstreams)
+			is.Equal(p.receiver.versions.Owners, p.leader.term.versions.Owners)
+			is.Equal(p.receiver.upstreams["u1"], pimento.StateArriving)
+			is.True(p.receiver.ready[pimento.KeyRange{From: 0, To: 99}])
+		})
+	}
+}
