Ignore parts of a state that are not newer than those known

What callers saw: as before, upstreams, owners of keys or failure domains out could come back older at a process.

Cause: only the manifest was protected by its version. A state over a connection that was given up may be handled after a newer one that came over the next, and replaced it; the leader, told of the old version, sent changes against another base.

Change: each part is applied only if its version is newer within the term.

--- a/router/follower.go
+++ b/router/follower.go
@@ -56,7 +56,8 @@
 	return f.router.admitter.Report()
 }
 
-// Apply implements leader.Member.
+// Apply implements leader.Member. A state may arrive late, over a connection that
+// was given up, so parts that are not newer than those known are ignored.
 func (f *follower) Apply(s *messenger.State) {
 	now := time.Now()
 	f.mu.Lock()
@@ -67,18 +68,19 @@
 	if s.Versions.Epoch > f.versions.Epoch {
 		f.versions = messenger.Versions{Epoch: s.Versions.Epoch, Manifest: f.versions.Manifest}
 	}
-	if s.Roster != nil {
+	rosterChanged := s.Roster != nil && s.Versions.Roster > f.versions.Roster
+	if rosterChanged {
 		f.roster, f.versions.Roster = s.Roster, s.Versions.Roster
 	}
-	if s.Upstreams != nil && (s.Upstreams.Whole || f.versions.Upstreams > 0) {
-		f.updateUpstreams(now, s.Upstreams)
+	if list := s.Upstreams; list != nil && mayApply(f.versions.Upstreams, s.Versions.Upstreams, list.Whole) {
+		f.updateUpstreams(now, list)
 		f.versions.Upstreams = s.Versions.Upstreams
 	}
-	if s.Owners != nil && (s.Owners.Whole || f.versions.Owners > 0) {
-		f.updateOwners(now, s.Owners)
+	if list := s.Owners; list != nil && mayApply(f.versions.Owners, s.Versions.Owners, list.Whole) {
+		f.updateOwners(now, list)
 		f.versions.Owners = s.Versions.Owners
 	}
-	f.versions.Blocked = s.Versions.Blocked
+	f.versions.Blocked = max(f.versions.Blocked, s.Versions.Blocked)
 	snapshot := f.snapshot()
 	f.mu.Unlock()
 	f.router.admitter.Block(s.Blocked)
@@ -86,11 +88,17 @@
 		f.adoptManifest(s.Manifest, manifestOrigin{From: string(f.router.leader.Term().Leader)})
 	}
 	f.router.admitter.Update(snapshot)
-	if s.Roster != nil {
+	if rosterChanged {
 		f.router.registrar.Update(snapshot.Pools, snapshot.Processes)
 	}
 }
 
+// mayApply reports whether a part of the state with the version next applies to
+// the version known here: it is newer and, unless it is whole, some is known.
+func mayApply(known, next uint64, whole bool) bool {
+	return next > known && (whole || known > 0)
+}
+
 // unheldKeys returns how many keys have no ready holder, as far as this process
 // knows.
 func (f *follower) unheldKeys() int {
--- a/router/follower_test.go
+++ b/router/follower_test.go
@@ -84,6 +84,51 @@
 	is.Equal(readyStatus(r), http.StatusServiceUnavailable)
 }
 
+// TestDelayedStateIsIgnored guards against a state that arrives late, after newer
+// ones, and takes upstreams, owners of keys, failure domains or the roster back.
+func TestDelayedStateIsIgnored(t *testing.T) {
+	state := func(epoch, version uint64, whole, leaving bool) *messenger.State {
+		u := messenger.Upstream{Server: pimento.Server{Name: "u1", Domain: "d1", State: pimento.StateArriving}}
+		out := []pimento.DomainName{}
+		if leaving {
+			u.State, out = pimento.StateLeaving, []pimento.DomainName{"d1"}
+		}
+		return &messenger.State{
+			Versions:  messenger.Versions{Epoch: epoch, Roster: version, Upstreams: version, Owners: version, Blocked: version},
+			Roster:    &messenger.Roster{Pools: make([]pimento.Pool, version)},
+			Upstreams: &messenger.UpstreamList{Whole: whole, Upstreams: []messenger.Upstream{u}, Out: out},
+			Owners: &messenger.OwnerList{Whole: whole, Owners: []messenger.Owner{{
+				Service: "s", Range: pimento.KeyRange{From: 0, To: 9}, Upstream: "u1", Ready: !leaving,
+			}}},
+		}
+	}
+	for _, c := range []struct {
+		name   string
+		states []*messenger.State
+		last   uint64 // version of the state that must stand
+	}{
+		{"in order", []*messenger.State{state(2, 1, true, false), state(2, 2, false, true), state(2, 3, false, false)}, 3},
+		{"a change arrives late", []*messenger.State{state(2, 1, true, false), state(2, 3, false, false), state(2, 2, false, true)}, 3},
+		{"a change arrives twice", []*messenger.State{state(2, 1, true, false), state(2, 2, false, true), state(2, 3, false, false), state(2, 2, false, true)}, 3},
+		{"the whole state arrives late", []*messenger.State{state(2, 4, true, false), state(2, 3, true, true)}, 4},
+		{"of an earlier term", []*messenger.State{state(2, 1, true, false), state(1, 9, true, true)}, 1},
+		{"of a later term", []*messenger.State{state(1, 9, true, true), state(2, 1, true, false)}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newRouter().follower
+			for _, s := range c.states {
+				f.Apply(s)
+			}
+			is.Equal(f.Versions(), messenger.Versions{Epoch: 2, Roster: c.last, Upstreams: c.last, Owners: c.last, Blocked: c.last})
+			is.Equal(len(f.roster.Pools), int(c.last))
+			is.Equal(f.upstreams["u1"].State, pimento.StateArriving)
+			is.Equal(len(f.domainsOut), 0)
+			is.True(f.owners["s"][0].Ready)
+		})
+	}
+}
+
 // TestOverlay checks with random lists that changed owners replace the previous
 // ones for exactly their keys.
 func TestOverlay(t *testing.T) {
