Let every process fetch a manifest that its leader cannot bring

What callers saw: a changed manifest was not in force at processes in contact with the store, beyond config_apply_s.

Cause: one path. A process that heard heartbeats of its leader waited for the leader's push, whatever became of it: the reply lost, the connection kept busy by the transfer itself, 80 copies in the link of one host, or a leader cut off from the store (another 2.5 s before its followers read the store themselves). The leader's own watch was given up only after 1.7 s of silence and a pause. Class: a sign of life is taken for a sign that the news arrives.

TestLargeManifest... guards the sending.

Change: heartbeats already tell the leader's version of the manifest. A process that lacks it reads it from the store, paced by the time that decoding takes; one whose leader does not reach the store watches it itself at once. A leader sends manifests up to 16 KiB as before, larger ones only to members that have made no progress for a second. The leader's watch is given up after 1.2 s, and a first failure is followed by a read without a pause.

--- a/elector/machine.go
+++ b/elector/machine.go
@@ -251,6 +251,12 @@
 	return m.term.Leader != "" && !m.IsLeader() && !storeLost && now.Sub(m.contactAt) < 3*m.timing.HeartbeatInterval
 }
 
+// LeaderHasStore reports whether this process receives heartbeats from a leader that
+// says that it reaches the store.
+func (m *Machine) LeaderHasStore(now time.Time) bool {
+	return m.HasLeader(now) && m.storeLostSince.IsZero()
+}
+
 // followerReadDelay is how long a leader may be unable to reach the store before
 // its followers read the store themselves.
 const followerReadDelay = 2500 * time.Millisecond
--- a/leader/heartbeat.go
+++ b/leader/heartbeat.go
@@ -35,6 +35,13 @@
 	acked            snapshot
 	pushing          bool
 	unconfirmed      bool // a state got no reply, and no heartbeat has since
+	lacksManifest    lack
+}
+
+// lack says since when a member lacks the latest manifest and has made no progress.
+type lack struct {
+	known uint64 // version that it has
+	since time.Time
 }
 
 // silent reports whether a member has missed too many heartbeats or has not
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -109,6 +109,7 @@
 	leaving         atomic.Bool
 	leading         atomic.Bool
 	following       atomic.Bool
+	leaderHasStore  atomic.Bool
 	latestTerm      atomic.Pointer[pimento.Term]
 	storeAnsweredAt atomic.Int64 // Unix nanoseconds of timekeeper
 
@@ -219,6 +220,10 @@
 // changes in the store to it.
 func (l *Leader) HasLeader() bool { return l.IsLeader() || l.following.Load() }
 
+// FollowsStore reports whether this process has another process as its leader whose
+// heartbeats arrive and say that it reaches the store.
+func (l *Leader) FollowsStore() bool { return l.leaderHasStore.Load() }
+
 // recordStoreAnswer records the time of an answer from the store.
 func (l *Leader) recordStoreAnswer() { l.storeAnsweredAt.Store(timekeeper.Now().UnixNano()) }
 
@@ -263,6 +268,7 @@
 	l.authorityUntil.Store(unixNanos(l.elector.AuthorityUntil()))
 	l.leading.Store(l.elector.IsLeader())
 	l.following.Store(l.elector.HasLeader(now))
+	l.leaderHasStore.Store(l.elector.LeaderHasStore(now))
 	if t := l.elector.Term(); l.Term().Epoch != t.Epoch {
 		l.latestTerm.Store(&t)
 	}
--- a/leader/push.go
+++ b/leader/push.go
@@ -11,8 +11,17 @@
 	"pimentorelay.example/pimento/timekeeper"
 )
 
-// pushTimeout bounds the wait for a member's reply to a state.
-const pushTimeout = 700 * time.Millisecond
+const (
+	// pushTimeout bounds the wait for a member's reply to a state.
+	pushTimeout = 700 * time.Millisecond
+	// maxEagerManifest is the size in bytes up to which a manifest is sent to members
+	// at once. Copies of larger ones for all members would occupy the leader's link,
+	// so the members read them from the store.
+	maxEagerManifest = 16 << 10
+	// manifestReadTime is how long a member has to read a large manifest from the
+	// store before the leader sends it.
+	manifestReadTime = time.Second
+)
 
 // updateOwners recomputes the owners and raises their version if they changed.
 func (l *Leader) updateOwners(now time.Time, in keeper.Input) {
@@ -61,13 +70,32 @@
 		if m.pushing || m.unconfirmed || m.missedHeartbeats > 0 || m.silent(now) {
 			continue
 		}
-		if state := l.missingState(m.process.ID, m.versions, m.acked); state != nil {
+		have := m.versions
+		if !l.sendsManifest(now, m) {
+			have.Manifest = t.versions.Manifest
+		}
+		if state := l.missingState(m.process.ID, have, m.acked); state != nil {
 			l.sendState(m, state)
 		}
 	}
 	l.reportSpread(now)
 }
 
+// sendsManifest reports whether the leader sends the manifest to a member that
+// lacks it: a small one at once, a large one if the member has made no progress for
+// manifestReadTime. Heartbeats announce it in any case.
+func (l *Leader) sendsManifest(now time.Time, m *member) bool {
+	if !m.hasReplied || m.versions.Manifest >= l.term.versions.Manifest {
+		m.lacksManifest = lack{}
+		return false
+	}
+	if m.lacksManifest.since.IsZero() || m.versions.Manifest > m.lacksManifest.known {
+		m.lacksManifest = lack{known: m.versions.Manifest, since: now}
+	}
+	_, encoded := l.Member.Manifest()
+	return len(encoded) <= maxEagerManifest || now.Sub(m.lacksManifest.since) >= manifestReadTime
+}
+
 // updateRoster rebuilds the roster and raises its version if processes or pools
 // changed.
 func (l *Leader) updateRoster() {
--- a/leader/push_test.go
+++ b/leader/push_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -188,3 +189,59 @@
 		})
 	}
 }
+
+// TestLargeManifestLeavesTheLeaderOnce guards against copies of a large manifest for
+// all members that occupy the leader's link, and against a member that is left
+// without it if it cannot read the store.
+func TestLargeManifestLeavesTheLeaderOnce(t *testing.T) {
+	const step = 50 * time.Millisecond
+	for _, c := range []struct {
+		name       string
+		bytes      int
+		reportedAt time.Duration // when the member reports the manifest by itself; zero: never
+		progress   bool          // the member reports other new versions meanwhile
+		sentWithin time.Duration // zero: not at all
+		sentAfter  time.Duration
+	}{
+		{name: "small", bytes: 2000, sentWithin: 2 * step},
+		{name: "large, read by the member", bytes: 100_000, reportedAt: 600 * time.Millisecond},
+		{name: "large, not read by the member", bytes: 100_000, sentAfter: manifestReadTime, sentWithin: manifestReadTime + 2*step},
+		{name: "large ones in succession", bytes: 100_000, progress: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1_800_000_000, 0)
+			restore := timekeeper.SetClock(func() time.Time { return now })
+			defer restore()
+			p := newPushTest(t)
+			p.manifest = fixedMember{version: 1, encoded: make([]byte, c.bytes)}
+			p.receiver.versions.Manifest = 1
+			p.set(pimento.StateArriving, true)
+			p.push(delivered)
+			p.heartbeat()
+			p.push(delivered)
+			is.Equal(p.receiver.versions.Manifest, uint64(1))
+			p.peers.received = nil
+			p.manifest.version = 2
+			start := now
+			sent := time.Duration(0)
+			for ; now.Sub(start) < 2*time.Second && sent == 0; now = now.Add(step) {
+				p.push(delivered)
+				if len(p.peers.received) > 0 {
+					sent = now.Sub(start) + 1
+				}
+				if c.reportedAt > 0 && now.Sub(start) >= c.reportedAt {
+					p.receiver.versions.Manifest = 2
+				}
+				if c.progress {
+					p.receiver.versions.Manifest = p.manifest.version
+					p.manifest.version++
+				}
+				p.heartbeat()
+			}
+			is.Equal(sent > 0, c.sentWithin > 0)
+			is.True(sent <= c.sentWithin+1)
+			is.True(sent >= c.sentAfter)
+		})
+	}
+}
--- a/router/follower.go
+++ b/router/follower.go
@@ -18,10 +18,6 @@
 )
 
 const (
-	// minStoreRetry and maxStoreRetry bound the backoff after failed calls to
-	// the store.
-	minStoreRetry = 250 * time.Millisecond
-	maxStoreRetry = 2 * time.Second
 	// stateReadInterval is the time between two reads of the state by a process
 	// without a leader.
 	stateReadInterval = 500 * time.Millisecond
@@ -37,11 +33,14 @@
 	versions        messenger.Versions
 	encodedManifest []byte // as stored
 	announced       announcement
-	roster          *messenger.Roster
-	upstreams       map[pimento.UpstreamName]pimento.Server
-	domainsOut      []pimento.DomainName // that get no work
-	owners          map[pimento.ServiceName][]scheduler.Owner
-	readFromStore   bool // upstreams were read from the store, without a leader
+	announcedNewer  chan struct{} // signals that announced has become newer than the one in force
+	// manifestDecoding is how long decoding the manifest in force took.
+	manifestDecoding time.Duration
+	roster           *messenger.Roster
+	upstreams        map[pimento.UpstreamName]pimento.Server
+	domainsOut       []pimento.DomainName // that get no work
+	owners           map[pimento.ServiceName][]scheduler.Owner
+	readFromStore    bool // upstreams were read from the store, without a leader
 }
 
 // Versions implements leader.Member.
--- a/router/manifest.go
+++ b/router/manifest.go
@@ -11,14 +11,28 @@
 )
 
 const (
-	// manifestWatchTimeout bounds one watch for a manifest. It is short because
-	// a watch may miss changes.
-	manifestWatchTimeout = time.Second
-	// manifestWatchInterval is the pause between two watches, so that manifests
-	// in quick succession cost few calls.
-	manifestWatchInterval = 150 * time.Millisecond
-	// leaderCheckInterval is the time between two checks whether a leader sends
-	// manifests to this process.
+	// leaderWatchTimeout bounds one watch for a manifest by the leader, so that a
+	// silent connection is given up in time for all processes.
+	leaderWatchTimeout = 800 * time.Millisecond
+	// orphanWatchTimeout bounds one watch by a process without a leader that reaches
+	// the store.
+	orphanWatchTimeout = 3 * time.Second
+	// watchMargin is added to the wait of a watch to get the time after which it is
+	// given up. The answer of a slow store comes within it.
+	watchMargin = 400 * time.Millisecond
+	// minStoreRetry and maxStoreRetry bound the backoff after failed calls to
+	// the store.
+	minStoreRetry = 250 * time.Millisecond
+	maxStoreRetry = 2 * time.Second
+	// minManifestPause and maxManifestPause bound the pause between two reads, so that
+	// manifests in quick succession cost few calls and little processor time.
+	minManifestPause = 150 * time.Millisecond
+	maxManifestPause = 600 * time.Millisecond
+	// manifestPauseFactor is the pause after a manifest in relation to the time that
+	// decoding it took.
+	manifestPauseFactor = 4
+	// leaderCheckInterval is the time between two checks whether the leader follows
+	// the manifest.
 	leaderCheckInterval = 100 * time.Millisecond
 )
 
@@ -42,41 +56,90 @@
 	return nil, nil
 }
 
-// watchManifest reads manifests from the store until ctx ends. A process that
-// has a manifest and follows a leader receives new ones from the leader.
+// watchManifest follows the manifest in the store until ctx ends. The leader watches
+// it there, and so does a process without a leader that reaches the store. Any other
+// process reads it once the leader announces a version that has not arrived.
 func (f *follower) watchManifest(ctx context.Context) error {
 	var revision uint64
+	failures := 0
 	backoff := timekeeper.Backoff{Initial: minStoreRetry, Max: maxStoreRetry}
 	for ctx.Err() == nil {
-		if f.router.leader.HasLeader() && !f.router.leader.IsLeader() && f.view.Load() != nil {
+		if f.mayWaitForLeader() {
 			revision = 0
-			sleep(ctx, leaderCheckInterval)
+			f.awaitAnnouncement(ctx)
 			continue
 		}
 		next, err := f.awaitManifest(ctx, revision)
 		revision = next
-		if err != nil {
-			sleep(ctx, backoff.Pause())
+		if err == nil && !f.lacksAnnounced() {
+			failures = 0
+			backoff.Reset()
+			sleep(ctx, f.manifestPause())
 			continue
 		}
-		backoff.Reset()
-		f.router.leader.StoreAnswered()
-		sleep(ctx, manifestWatchInterval)
+		// A single failure may be that of its connection, so the next call follows
+		// at once.
+		if failures++; failures > 1 {
+			sleep(ctx, backoff.Pause())
+		}
 	}
 	return ctx.Err()
 }
 
+// awaitAnnouncement waits for leaderCheckInterval, or until the leader announces a
+// newer manifest.
+func (f *follower) awaitAnnouncement(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaderCheckInterval)
+	defer cancel()
+	select {
+	case <-f.announcedNewer:
+	case <-ctx.Done():
+	}
+}
+
+// mayWaitForLeader reports whether this process has the manifest that its leader
+// announces, and a leader that reaches the store.
+func (f *follower) mayWaitForLeader() bool {
+	l := f.router.leader
+	return !l.IsLeader() && l.FollowsStore() && f.view.Load() != nil && !f.lacksAnnounced()
+}
+
+// lacksAnnounced reports whether the leader has announced a newer manifest than the
+// one in force here.
+func (f *follower) lacksAnnounced() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.announced.version > f.versions.Manifest
+}
+
+// manifestPause returns the pause before the next read of the manifest.
+func (f *follower) manifestPause() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return min(max(minManifestPause, manifestPauseFactor*f.manifestDecoding), maxManifestPause)
+}
+
 // awaitManifest waits for a manifest after a revision and adopts it. It returns
-// the revision to continue from.
+// the revision to continue from, zero after an error: the next call then reads the
+// manifest without waiting.
 func (f *follower) awaitManifest(ctx context.Context, after uint64) (uint64, error) {
-	value, revision, err := f.router.Source.Manifest(ctx, after, manifestWatchTimeout)
+	wait := orphanWatchTimeout
+	if f.router.leader.IsLeader() {
+		wait = leaderWatchTimeout
+	}
+	if after > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, wait+watchMargin)
+		defer cancel()
+	}
+	value, revision, err := f.router.Source.Manifest(ctx, after, wait)
 	if err != nil {
-		return 0, err // zero: the next call reads the manifest without waiting
+		return 0, err
 	}
-	if value == nil {
-		return revision, nil
+	f.router.leader.StoreAnswered()
+	if value != nil {
+		f.adoptManifest(value, manifestOrigin{From: originStore, Revision: revision})
 	}
-	f.adoptManifest(value, manifestOrigin{From: originStore, Revision: revision})
 	return revision, nil
 }
 
@@ -106,6 +169,12 @@
 		f.announced.since = time.Now()
 	}
 	f.announced.version = v.Manifest
+	if v.Manifest > f.versions.Manifest {
+		select {
+		case f.announcedNewer <- struct{}{}:
+		default:
+		}
+	}
 }
 
 // announcedVersion returns the latest version that the leader has told of.
@@ -134,7 +203,7 @@
 		return
 	}
 	f.view.Store(next)
-	f.encodedManifest, f.versions.Manifest = value, m.Version
+	f.encodedManifest, f.versions.Manifest, f.manifestDecoding = value, m.Version, took
 	waited := time.Duration(0)
 	if f.announced.version >= m.Version {
 		waited = time.Since(f.announced.since)
--- a/router/router.go
+++ b/router/router.go
@@ -132,7 +132,7 @@
 	r.messenger = &messenger.Messenger{Self: r.self, Handler: (*handler)(r)}
 	r.admitter = &admitter.Admitter{Self: r.self, Peers: r.messenger, Wire: r.UpstreamWire, RetryBudget: retryBudget(r.Bounds)}
 	r.registrar = &registrar.Registrar{Self: r.self, Peers: r.messenger, Events: r.events}
-	r.follower = &follower{router: r}
+	r.follower = &follower{router: r, announcedNewer: make(chan struct{}, 1)}
 	r.leader = &leader.Leader{
 		Self: r.self, Store: r.Store, Source: r.Source, Peers: r.messenger, Member: r.follower, Events: r.events,
 		ElectorTiming: elector.DefaultTiming(), KeeperTiming: keeper.DefaultTiming(r.Bounds.MaxHold), Grantor: r.admitter,
