Bound what an upstream's answer without end may cost

Cause: the head of an answer was read without a bound on its size, and the unwanted body of a late answer or of a control reply was read to its end by its Close.

Evidence: TestAnswerWithoutEnd failed for a head of many lines, a head of one line, a status line and bytes that are no answer (all read until the deadline, above 8 MB allocated), TestLateAnswerWithoutEnd and TestControlReplyWithoutEnd for head and body (read until the deadline). Bodies of answers were sound: they stream.

Change: a head has 64 KiB at most; unwanted bodies are read up to 64 KiB and not closed, their connection is.

Result: all three tests pass, connector's others too, with the race detector.

--- a/connector/client.go
+++ b/connector/client.go
@@ -53,6 +53,10 @@
 	maxDiscardBytes = 64 << 10
 	// bufferSize is the size of a connection's read and write buffers in bytes.
 	bufferSize = 4 << 10
+	// maxHeadBytes is the largest head of an answer in bytes.
+	maxHeadBytes = 64 << 10
+	// noLimit is a limit that no answer reaches, in bytes.
+	noLimit = 1 << 62
 	// maxAnswersRead is the most answers that are read for one request, interim
 	// (1xx) and stale ones included.
 	maxAnswersRead = 4
@@ -79,6 +83,7 @@
 type conn struct {
 	net.Conn
 	r           *bufio.Reader
+	headLimit   *io.LimitedReader // under r, bounds the size of a head
 	w           *bufio.Writer
 	expires     time.Time // not reused from then on
 	idleTimeout time.Duration
@@ -175,7 +180,33 @@
 	if c.OnDial != nil {
 		c.OnDial()
 	}
-	return &conn{Conn: raw, r: bufio.NewReaderSize(raw, bufferSize), w: bufio.NewWriterSize(raw, bufferSize), idleTimeout: defaultIdleTimeout}, nil
+	limit := &io.LimitedReader{R: raw, N: noLimit}
+	return &conn{
+		Conn: raw, r: bufio.NewReaderSize(limit, bufferSize), headLimit: limit,
+		w: bufio.NewWriterSize(raw, bufferSize), idleTimeout: defaultIdleTimeout,
+	}, nil
+}
+
+// readHead reads the head of an answer. The body can be read from the answer, but
+// must not be closed: that would read on to its end, which may never come.
+func (cn *conn) readHead(req *http.Request) (*http.Response, error) {
+	cn.headLimit.N = maxHeadBytes
+	res, err := http.ReadResponse(cn.r, req)
+	if err != nil && cn.headLimit.N <= 0 {
+		return nil, errHeadTooLarge
+	}
+	cn.headLimit.N = noLimit
+	return res, err
+}
+
+// errHeadTooLarge is the cause if the head of an answer exceeds maxHeadBytes.
+var errHeadTooLarge = errors.New("the head of the answer is too large")
+
+// discard reads a body that is not wanted, up to maxDiscardBytes, and reports
+// whether that was all of it.
+func discard(body io.Reader) (complete bool, err error) {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardBytes))
+	return n < maxDiscardBytes, err
 }
 
 // getConn returns a connection, always a new one if dialNew is set.
@@ -344,7 +375,7 @@
 // answers with another ID, which belong to earlier requests.
 func (e *exchange) readAnswer() (*http.Response, pimento.AnswerMetadata, error) {
 	for range maxAnswersRead {
-		res, err := http.ReadResponse(e.conn.r, &http.Request{Method: e.request.Method})
+		res, err := e.conn.readHead(&http.Request{Method: e.request.Method})
 		if err != nil {
 			return nil, pimento.AnswerMetadata{}, err
 		}
@@ -356,10 +387,13 @@
 		if !stale {
 			return res, metadata, nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxDiscardBytes)); err != nil {
+		complete, err := discard(res.Body)
+		if err != nil {
 			return nil, pimento.AnswerMetadata{}, err
 		}
-		res.Body.Close()
+		if !complete {
+			break
+		}
 	}
 	return nil, pimento.AnswerMetadata{}, errStaleAnswers
 }
@@ -370,10 +404,9 @@
 // discardBody reads the body of a refusal and ends the exchange, so that the
 // connection can be reused if the body is short.
 func (e *exchange) discardBody(res *http.Response) {
-	n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxDiscardBytes))
-	complete := err == nil && n < maxDiscardBytes && !res.Close
+	complete, err := discard(res.Body)
 	e.updateIdleTimeout(res, pimento.AnswerMetadata{})
-	e.finish(complete)
+	e.finish(complete && err == nil && !res.Close)
 }
 
 // updateIdleTimeout sets how long the connection may stay idle after this
--- a/connector/control.go
+++ b/connector/control.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -181,13 +180,13 @@
 	if err := cn.w.Flush(); err != nil {
 		return reply{}, false, err
 	}
-	res, err := http.ReadResponse(cn.r, req)
+	res, err := cn.readHead(req)
 	if err != nil {
 		return reply{}, false, err
 	}
-	defer res.Body.Close()
-	if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxDiscardBytes)); err != nil {
+	complete, err := discard(res.Body)
+	if err != nil {
 		return reply{}, false, err
 	}
-	return reply{status: res.StatusCode, header: res.Header}, !res.Close, nil
+	return reply{status: res.StatusCode, header: res.Header}, complete && !res.Close, nil
 }
--- a/leader/spread.go
+++ b/leader/spread.go
@@ -1,6 +1,8 @@
 package leader
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -72,7 +74,7 @@
 	if l.OnStateSent != nil {
 		l.OnStateSent(len(state.Manifest), took, err)
 	}
-	if err == nil {
+	if err == nil || errors.Is(err, context.Canceled) { // canceled: the term has ended
 		return
 	}
 	manifest := uint64(0)
