Notice a caller that leaves behind an unread body

Cause: after the first 64 KiB of a body the connection was read only by the handler, which reads nothing while the request waits for a permit. The caller's close, behind the rest of the body, was noticed when the request was passed on.

Change: the connection's reader reads a body ahead, up to 448 KiB beyond the first 64, and the handler reads what is there. A caller that leaves behind more than that is still noticed only when the body is read.

--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -107,8 +107,15 @@
 	if x.body != nil && x.err == nil {
 		x.err = x.readPrefix()
 	}
+	if x.body != nil && x.err == nil {
+		x.body.startReadAhead()
+	}
 	c.startExchange(x)
-	if x.body != nil && !x.body.discardRest() {
+	if x.body == nil {
+		return !x.last
+	}
+	x.body.pump()
+	if !x.body.discardRest() {
 		return false // the start of the next request is unknown
 	}
 	return !x.last
--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -76,7 +76,7 @@
 	x.request.SetFingerprint(x.prefix)
 	answer, err := x.conn.acceptor.Handler.Handle(ctx, x.request, src)
 	if x.body != nil {
-		x.body.markDone()
+		x.body.endHandler()
 	}
 	if err == nil {
 		x.answer = answer
@@ -264,6 +264,9 @@
 	return err
 }
 
+// errBodyEnded is the error of a handler that reads after it has returned.
+var errBodyEnded = errors.New("the request has ended")
+
 // errTooLarge is the error if a body without a length exceeds the limit.
 var errTooLarge = errors.New("the body is larger than operators allow")
 
@@ -274,6 +277,7 @@
 	limit        int64
 	conn         *conn
 	sendContinue func() error // nil: no 100 Continue is due
+	ahead        *readAhead   // nil: the handler reads src itself
 	once         sync.Once
 	done         chan struct{} // closed when the handler has returned, or the body has ended or failed
 	closed       atomic.Bool   // further reads by the handler fail
@@ -285,6 +289,14 @@
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
+	if b.ahead != nil {
+		return b.ahead.Read(p)
+	}
+	return b.readSource(p)
+}
+
+// readSource reads from src.
+func (b *body) readSource(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.readErr == io.EOF {
@@ -328,11 +340,51 @@
 	return b.readErr == io.EOF
 }
 
-// markDone records that the handler does not read on.
+// markDone records that the handler does not read on, or that all has been read.
 func (b *body) markDone() {
 	b.once.Do(func() { close(b.done) })
 }
 
+// endHandler records that the handler has returned. A read of src that is running
+// then belongs to nobody, so it ends within discardTimeout.
+func (b *body) endHandler() {
+	b.markDone()
+	if b.ahead == nil {
+		return
+	}
+	b.ahead.end(func() {
+		if err := b.conn.raw.SetReadDeadline(time.Now().Add(discardTimeout)); err != nil {
+			b.conn.cancel()
+		}
+	})
+}
+
+// startReadAhead makes the connection's reader read the body from now on. A body
+// that awaits a 100 Continue, or has been read, is left to the handler.
+func (b *body) startReadAhead() {
+	if b.sendContinue == nil && !b.isComplete() {
+		b.ahead = newReadAhead()
+	}
+}
+
+// pump reads the body ahead until it ends or fails, or the handler has returned.
+func (b *body) pump() {
+	if b.ahead == nil {
+		return
+	}
+	chunk := make([]byte, pumpChunkSize)
+	for {
+		n, err := b.readSource(chunk)
+		if !b.ahead.add(chunk[:n], err) {
+			break
+		}
+	}
+	b.ahead.finish()
+}
+
+// pumpChunkSize is the most that is read ahead at once, in bytes.
+const pumpChunkSize = 16 << 10
+
 // discardRest waits for done, discards the rest of the body, and reports whether
 // the body has been read to its end.
 func (b *body) discardRest() bool {
