Tell callers when a process ends before their requests

Cause: at the end of its grace a process closed all connections, also of requests that were still waiting for a permit or for an upstream that had fallen silent.

TestRequestsLeftAtTheEndAreAnswered covers the new call; before it there was only Abort, which closes.

Change: requests that are left are ended with the cause ErrStopping 0.3 s before the platform would kill the process: what had no permit is told that it has not run, the rest that it may have (reason Stopping).

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -17,6 +17,7 @@
 //	a.Drain()         // answers now close their connections
 //	a.StopAccepting() // no new connections; idle ones are closed
 //	for a.Active() > 0 { ... }
+//	a.EndRequests()   // those left are told
 package acceptor
 
 import (
@@ -72,6 +73,10 @@
 	// because the caller disconnected or the answer was truncated; it may be nil.
 	OnTruncated func(r *pimento.Request, err error)
 
+	once     sync.Once
+	requests context.Context // ended by endRequests
+	endAll   context.CancelCauseFunc
+
 	mu       sync.Mutex
 	listener net.Listener
 	conns    map[*conn]bool
@@ -80,9 +85,14 @@
 	active   atomic.Int64 // requests whose answer is not complete
 }
 
+func (a *Acceptor) init() {
+	a.once.Do(func() { a.requests, a.endAll = context.WithCancelCause(context.Background()) })
+}
+
 // Serve accepts connections until ctx ends or the listener is closed. It
 // retries after other errors. After StopAccepting, it returns only when ctx ends.
 func (a *Acceptor) Serve(ctx context.Context, l net.Listener) error {
+	a.init()
 	stop := context.AfterFunc(ctx, func() { l.Close() })
 	defer stop()
 	a.mu.Lock()
@@ -146,6 +156,13 @@
 	}
 }
 
+// EndRequests ends the contexts of all requests with the cause ErrStopping, so that
+// their callers are told whether they may have run.
+func (a *Acceptor) EndRequests() {
+	a.init()
+	a.endAll(pimento.ErrStopping)
+}
+
 // Abort closes all connections at once.
 func (a *Acceptor) Abort() {
 	a.mu.Lock()
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -435,3 +435,33 @@
 	is.Equal(resp.StatusCode, http.StatusRequestTimeout)
 	is.Equal(len(h.started), 0) // not run, as the status says
 }
+
+// TestRequestsLeftAtTheEndAreAnswered guards against requests that still wait when a
+// process ends, and whose connections are closed without a word.
+func TestRequestsLeftAtTheEndAreAnswered(t *testing.T) {
+	for name, sent := range map[string]string{
+		"waiting":          getRequest("/wait/5s/a"),
+		"pipelined":        getRequest("/wait/5s/a") + getRequest("/wait/5s/b"),
+		"with a long body": post("/wait/5s/a", 200_000, false),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a, h, dial := startAcceptor(t, pimento.Limits{})
+			c := dial()
+			go io.WriteString(c, sent)
+			<-h.started
+			time.Sleep(50 * time.Millisecond)
+			a.Drain()
+			a.StopAccepting()
+			a.EndRequests()
+			r := bufio.NewReader(c)
+			for range strings.Count(sent, "HTTP/1.1") {
+				is.NoErr(c.SetReadDeadline(time.Now().Add(time.Second)))
+				res, _, err := readAnswer(t, r, "GET")
+				is.NoErr(err)
+				is.Equal(res.StatusCode, 502) // the handler says that it may have run
+			}
+			is.Equal(a.Active(), 0)
+		})
+	}
+}
--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -67,8 +67,11 @@
 // handle passes the request to the handler.
 func (x *exchange) handle() {
 	defer close(x.ready)
-	ctx, cancel := context.WithCancel(x.conn.ctx)
-	x.cancel = cancel
+	ctx, cancel := context.WithCancelCause(x.conn.ctx)
+	x.cancel = func() { cancel(nil) }
+	requests := x.conn.acceptor.requests
+	stop := context.AfterFunc(requests, func() { cancel(context.Cause(requests)) })
+	defer stop()
 	var src io.Reader = http.NoBody
 	if x.body != nil {
 		src = io.MultiReader(bytes.NewReader(x.prefix), x.body)
--- a/admitter/acquire.go
+++ b/admitter/acquire.go
@@ -129,6 +129,9 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return pimento.NotRun(pimento.ReasonTimeout, "no upstream had room before the deadline")
 	}
+	if errors.Is(context.Cause(ctx), pimento.ErrStopping) {
+		return pimento.NotRun(pimento.ReasonStopping, pimento.ErrStopping.Error())
+	}
 	return pimento.NotRun(pimento.ReasonCallerGone, "the caller has left")
 }
 
@@ -229,7 +232,7 @@
 		return scheduler.ResultRefused
 	case pimento.ReasonTimeout:
 		return scheduler.ResultTimeout
-	case pimento.ReasonCallerGone, pimento.ReasonBodyCut:
+	case pimento.ReasonCallerGone, pimento.ReasonStopping, pimento.ReasonBodyCut:
 		return scheduler.ResultCanceled
 	}
 	if failure.Outcome == pimento.OutcomeNotRun {
--- a/connector/client.go
+++ b/connector/client.go
@@ -258,6 +258,9 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return pimento.Unknown(pimento.ReasonTimeout, "the upstream has not answered in time")
 	}
+	if errors.Is(context.Cause(ctx), pimento.ErrStopping) {
+		return pimento.Unknown(pimento.ReasonStopping, pimento.ErrStopping.Error())
+	}
 	return pimento.Unknown(pimento.ReasonCallerGone, "the caller has left")
 }
 
--- a/request.go
+++ b/request.go
@@ -1,6 +1,9 @@
 package pimento
 
-import "net/http"
+import (
+	"errors"
+	"net/http"
+)
 
 // Outcome is how a request ended, as reported to its caller.
 type Outcome string
@@ -40,8 +43,12 @@
 	ReasonOverloaded     Reason = "Overloaded"
 	ReasonRetryBudget    Reason = "RetryBudget"
 	ReasonQuarantined    Reason = "Quarantined"
+	ReasonStopping       Reason = "Stopping"
 )
 
+// ErrStopping is the cause of the end of a request's context if its process ends.
+var ErrStopping = errors.New("this process is shutting down")
+
 // AnswerHead is an answer without its body.
 type AnswerHead struct {
 	ID         string
--- a/router/serve.go
+++ b/router/serve.go
@@ -25,6 +25,9 @@
 	// shutdownMargin is the time between the end of a process and the moment at
 	// which the platform would kill it.
 	shutdownMargin = 300 * time.Millisecond
+	// lastAnswersTime is how long the answers to the requests that are ended at last
+	// may take to be written, within shutdownMargin.
+	lastAnswersTime = 150 * time.Millisecond
 )
 
 // register writes this process's entry to the store, replacing that of an
@@ -108,7 +111,8 @@
 // shutDown drains the process before it ends. The process is no longer ready and
 // its answers close their connections. Once the platform must have noticed, it
 // accepts no new connections and waits, within the shutdown bound, for requests
-// in progress and, if it leads, for the store to be reachable.
+// in progress and, if it leads, for the store to be reachable. The requests that are
+// left then are ended with an answer.
 func (r *Router) shutDown() {
 	r.events.Emit(pimento.EventProcessStopping)
 	r.leaving.Store(true)
@@ -125,6 +129,10 @@
 		}
 		time.Sleep(drainPollInterval)
 	}
+	r.acceptor.EndRequests()
+	for end := time.Now().Add(lastAnswersTime); r.acceptor.Active() > 0 && time.Now().Before(end); {
+		time.Sleep(drainPollInterval)
+	}
 }
 
 // quietPeriod is how long a process keeps running after its last answer: a
