Count a route's timeout from the arrival of the request

What callers saw: an upload whose start came slowly was answered later than its route's timeout by the time that the first 64 KiB took.

Cause: the timeout began when the request was passed to the forwarder, after the start of its body had been read.

Change: the arrival of the header is kept with the request, and timeout and target latency count from it.

Result: the test passes; forwarder and acceptor pass.

--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -208,7 +208,7 @@
 func (c *conn) newExchange(req *http.Request, arrived time.Time, limits pimento.Limits) *exchange {
 	x := &exchange{conn: c, last: req.Close || !req.ProtoAtLeast(1, 1) || c.acceptor.draining.Load(), method: req.Method, turn: make(chan struct{})}
 	r := &pimento.Request{
-		Method: req.Method, Path: req.RequestURI, Host: req.Host, Header: req.Header, BodyLength: req.ContentLength,
+		Method: req.Method, Path: req.RequestURI, Host: req.Host, Header: req.Header, BodyLength: req.ContentLength, ArrivedAt: arrived,
 	}
 	x.request = r
 	if !strings.HasPrefix(r.Path, "/") {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -105,7 +105,10 @@
 
 // handle implements Handle and records the trace of the request.
 func (f *Forwarder) handle(ctx context.Context, r *pimento.Request, body io.Reader, trace *Trace) (pimento.Answer, error) {
-	now := trace.StartedAt
+	arrived := r.ArrivedAt
+	if arrived.IsZero() {
+		arrived = trace.StartedAt
+	}
 	view := f.View()
 	if view == nil {
 		refusal := pimento.NotRun(pimento.ReasonNoManifest, "no manifest is known here yet")
@@ -126,8 +129,8 @@
 	if route.Strip {
 		r.Path = "/" + strings.TrimPrefix(r.Path, route.Prefix)
 	}
-	r.GoalAt = now.Add(route.Goal - f.elapsed(route.Name, r.Deadline.Sub(now)))
-	if end := now.Add(route.Timeout); end.Before(r.Deadline) {
+	r.GoalAt = arrived.Add(route.Goal - f.elapsed(route.Name, r.Deadline.Sub(arrived)))
+	if end := arrived.Add(route.Timeout); end.Before(r.Deadline) {
 		r.Deadline = end
 	}
 	if r.HasCallerID && f.Records != nil && !route.Idempotent(r.Method) {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -161,3 +161,15 @@
 	is.True(errors.As(err, &out))
 	is.Equal(out.Status(), http.StatusNotFound)
 }
+
+// TestTimeoutCountsFromTheArrival guards against a route's timeout that begins only
+// once the start of a slow body has been read.
+func TestTimeoutCountsFromTheArrival(t *testing.T) {
+	is := is.New(t)
+	d := &dispatcher{steps: []step{{}}}
+	f := &Forwarder{View: func() *View { return newView(pimento.RouteUpload, 1) }, Dispatcher: d}
+	arrived := time.Now().Add(-400 * time.Millisecond)
+	r := &pimento.Request{ID: "x", Method: http.MethodPost, Path: "/a/x", ArrivedAt: arrived, Deadline: arrived.Add(time.Hour)}
+	_, _ = f.Handle(t.Context(), r, http.NoBody) // only its deadline is of interest
+	is.Equal(r.Deadline, arrived.Add(f.View().Manifest.Routes[0].Timeout))
+}
--- a/wire.go
+++ b/wire.go
@@ -20,7 +20,8 @@
 	Path        string // with query, as received
 	Host        string
 	Header      http.Header
-	BodyLength  int64 // bytes, -1 if unknown
+	BodyLength  int64     // bytes, -1 if unknown
+	ArrivedAt   time.Time // end of its header; zero: unknown
 	Deadline    time.Time
 	GoalAt      time.Time // an answer until then has its full utility
 	Fingerprint uint64    // see SetFingerprint
