Read upstreams from the store if the leader's states do not arrive

Cause: as for the manifest, a heartbeat counted as proof that states arrive.

Evidence: TestUpstreamsThatAreAnnouncedButNotSent failed: 1.5 s after the leader announced newer upstreams a leaving one was still taken for ready, and the store was not read.

Change: a process to which announced upstreams have not come for 0.8 s reads upstreams and failure domains from the store, as one without a leader does.

Result: the test passes; router passes with the race detector.

--- a/router/follower.go
+++ b/router/follower.go
@@ -21,6 +21,9 @@
 	// stateReadInterval is the time between two reads of the state by a process
 	// without a leader.
 	stateReadInterval = 500 * time.Millisecond
+	// maxStateLag is how long the leader may announce upstreams that do not arrive
+	// before a process reads them itself.
+	maxStateLag = 800 * time.Millisecond
 )
 
 // follower holds what this process knows of the shared state.
@@ -40,7 +43,8 @@
 	upstreams        map[pimento.UpstreamName]pimento.Server
 	domainsOut       []pimento.DomainName // that get no work
 	owners           map[pimento.ServiceName][]scheduler.Owner
-	readFromStore    bool // upstreams were read from the store, without a leader
+	readFromStore    bool      // upstreams were read from the store
+	behindSince      time.Time // since when announced upstreams have not arrived; zero: they have
 }
 
 // Versions implements leader.Member.
@@ -74,6 +78,7 @@
 	if list := s.Upstreams; list != nil && mayApply(f.versions.Upstreams, s.Versions.Upstreams, list.Whole) {
 		f.updateUpstreams(now, list)
 		f.versions.Upstreams = s.Versions.Upstreams
+		f.behindSince = time.Time{}
 	}
 	if list := s.Owners; list != nil && mayApply(f.versions.Owners, s.Versions.Owners, list.Whole) {
 		f.updateOwners(now, list)
@@ -219,14 +224,15 @@
 	}
 }
 
-// pollState reads the state from the store while no leader sends it.
+// pollState reads the state from the store while no leader sends it, or what it
+// announces does not arrive.
 func (f *follower) pollState(ctx context.Context) error {
 	pause := stateReadInterval
 	backoff := timekeeper.Backoff{Initial: stateReadInterval, Max: maxStoreRetry}
 	for ctx.Err() == nil {
 		sleep(ctx, pause)
 		pause = stateReadInterval
-		if f.router.leader.HasLeader() {
+		if f.router.leader.HasLeader() && !f.isBehind() {
 			continue
 		}
 		if err := f.readState(ctx); err != nil { // reported through ObserveStoreCall
@@ -238,6 +244,26 @@
 	return ctx.Err()
 }
 
+// isBehind reports whether the leader has announced upstreams for longer than
+// maxStateLag that have not arrived.
+func (f *follower) isBehind() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.behindSince.IsZero() && time.Since(f.behindSince) > maxStateLag
+}
+
+// noteAnnouncedUpstreams notes whether the leader has newer upstreams than those
+// that have arrived. The caller holds mu.
+func (f *follower) noteAnnouncedUpstreams(v messenger.Versions) {
+	behind := v.Epoch > f.versions.Epoch || v.Epoch == f.versions.Epoch && v.Upstreams > f.versions.Upstreams
+	switch {
+	case !behind:
+		f.behindSince = time.Time{}
+	case f.behindSince.IsZero():
+		f.behindSince = time.Now()
+	}
+}
+
 // readState reads upstreams and failure domains from the store. The owners last
 // sent by a leader are kept: an upstream refuses keys that it does not hold.
 func (f *follower) readState(ctx context.Context) error {
@@ -260,7 +286,7 @@
 	list.Whole = true
 	f.updateUpstreams(time.Now(), list)
 	f.versions.Upstreams = 0
-	f.readFromStore = true
+	f.readFromStore, f.behindSince = true, time.Time{}
 	snapshot := f.snapshot()
 	f.mu.Unlock()
 	f.router.admitter.Update(snapshot)
--- a/router/manifest.go
+++ b/router/manifest.go
@@ -162,6 +162,7 @@
 func (f *follower) Announced(v messenger.Versions) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.noteAnnouncedUpstreams(v)
 	if v.Manifest <= f.announced.version {
 		return
 	}
--- a/router/manifest_test.go
+++ b/router/manifest_test.go
@@ -161,6 +161,8 @@
 	lost    atomic.Bool   // it reports that it does not reach the store
 	silent  atomic.Bool
 	epoch   atomic.Uint64
+
+	upstreams atomic.Uint64 // version that it announces
 }
 
 // run sends heartbeats until ctx ends.
@@ -169,7 +171,7 @@
 		if !l.silent.Load() {
 			q := &messenger.Heartbeat{
 				Term:      pimento.Term{Epoch: l.epoch.Load(), Leader: "leader", Confirmers: []pimento.ProcessID{"leader"}},
-				StoreLost: l.lost.Load(), Versions: messenger.Versions{Epoch: l.epoch.Load(), Manifest: l.version.Load()},
+				StoreLost: l.lost.Load(), Versions: messenger.Versions{Epoch: l.epoch.Load(), Upstreams: l.upstreams.Load(), Manifest: l.version.Load()},
 			}
 			l.router.leader.HandleHeartbeat("leader", q, func(*messenger.Message) {})
 		}
@@ -184,6 +186,16 @@
 	}, func(*messenger.Message) {})
 }
 
+// pushUpstreams sends the state of the only upstream.
+func (l *fakeLeader) pushUpstreams(version uint64, state pimento.State) {
+	l.router.leader.HandleState("leader", &messenger.State{
+		Versions: messenger.Versions{Epoch: l.epoch.Load(), Upstreams: version},
+		Upstreams: &messenger.UpstreamList{Whole: true, Upstreams: []messenger.Upstream{{
+			Server: pimento.Server{Name: "u1", State: state},
+		}}},
+	}, func(*messenger.Message) {})
+}
+
 // TestManifestIsInForceInTime guards against a process that hears from its leader
 // and therefore waits for a manifest that the leader cannot bring.
 func TestManifestIsInForceInTime(t *testing.T) {
@@ -294,3 +306,69 @@
 		})
 	}
 }
+
+// TestUpstreamsThatAreAnnouncedButNotSent guards against a process that goes on with
+// old upstreams while its leader's heartbeats arrive and its states do not.
+func TestUpstreamsThatAreAnnouncedButNotSent(t *testing.T) {
+	const target = 1500 * time.Millisecond // of drain_s, 2 s, without the leader's own reading
+	for _, c := range []struct {
+		name   string
+		pushed bool
+		reads  bool // the process reads the store
+	}{
+		{"pushed", true, false},
+		{"not pushed", false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				restore := timekeeper.SetClock(time.Now)
+				defer restore()
+				source := &upstreamStore{}
+				r := &Router{Source: source, Bounds: pimento.DefaultBounds(), Store: &busyStore{}}
+				r.self = pimento.Process{ID: "me", Host: "h"}
+				r.assemble()
+				ctx, cancel := context.WithCancel(t.Context())
+				var tasks sync.WaitGroup
+				defer tasks.Wait()
+				defer cancel()
+				for _, run := range []func(context.Context) error{r.leader.Run, r.follower.pollState} {
+					tasks.Go(func() { _ = run(ctx) }) // the error is that of ctx
+				}
+				l := &fakeLeader{router: r}
+				l.epoch.Store(1)
+				l.upstreams.Store(1)
+				tasks.Go(func() { l.run(ctx) })
+				time.Sleep(300 * time.Millisecond)
+				l.pushUpstreams(1, pimento.StateArriving)
+				time.Sleep(3 * time.Second)
+				before := source.reads.Load()
+				l.upstreams.Store(2)
+				if c.pushed {
+					l.pushUpstreams(2, pimento.StateLeaving)
+				}
+				time.Sleep(target)
+				r.follower.mu.Lock()
+				state := r.follower.upstreams["u1"].State
+				r.follower.mu.Unlock()
+				if state != pimento.StateLeaving {
+					t.Errorf("the upstream is %s %s after it began to leave", state, target)
+				}
+				if reads := source.reads.Load() > before; reads != c.reads {
+					t.Errorf("read from the store: %t", reads)
+				}
+			})
+		})
+	}
+}
+
+// upstreamStore is a source with one upstream, which is leaving.
+type upstreamStore struct {
+	manifestStore
+	reads atomic.Int32
+}
+
+// Upstreams implements pimento.Source.
+func (s *upstreamStore) Upstreams(context.Context) ([]pimento.Server, error) {
+	s.reads.Add(1)
+	return []pimento.Server{{Name: "u1", State: pimento.StateLeaving}}, nil
+}
