Match names as whole words in explain

What callers saw: nothing; a report of relayctl explain on a request to u12 also told of u1, whose name it begins with.

Cause: names were searched as parts of the text.

Change: a name has to stand as a whole word.

Result: the test passes; explainer passes.

--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -160,12 +160,12 @@
 		return "", false
 	}
 	for _, step := range steps {
-		attempts := step.Fields["Tries"] + step.Fields["By"]
-		involved := x.Process == step.Process || strings.Contains(attempts, string(x.Process))
+		attempts := step.Fields["Tries"] + " " + step.Fields["By"]
+		involved := x.Process == step.Process || containsName(attempts, string(x.Process))
 		switch subject {
 		case "upstream", "grant", "release":
 			coversKey := x.Fields["Service"] == step.Fields["Service"] && rangeContains(x.Fields["Keys"], step.Fields["Key"])
-			if coversKey || strings.Contains(attempts, x.Fields["Upstream"]) {
+			if coversKey || containsName(attempts, x.Fields["Upstream"]) {
 				return subject + " " + x.Fields["Upstream"], true
 			}
 		case "keys":
@@ -183,6 +183,11 @@
 	return "", false
 }
 
+// containsName reports whether a text contains a name as a whole word.
+func containsName(text, name string) bool {
+	return slices.Contains(strings.FieldsFunc(text, func(r rune) bool { return strings.ContainsRune(" ,;()", r) }), name)
+}
+
 // rangeContains reports whether a range such as "16-31" contains a key.
 func rangeContains(span, key string) bool {
 	var from, to, k int
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -50,3 +50,20 @@
 	is.True(strings.Contains(text.String(), "400ms  b  5001 upstream lost")) // age of the state at the end
 	is.True(!strings.Contains(text.String(), "u9"))
 }
+
+// TestNamesAreWholeWords guards against upstreams in a report whose names begin like
+// those that the request involved.
+func TestNamesAreWholeWords(t *testing.T) {
+	is := is.New(t)
+	const text = `
+{"@timestamp":"2026-02-02T18:00:09.000000Z","Event":5001,"Process":"b","Upstream":"u1"}
+{"@timestamp":"2026-02-02T18:00:09.100000Z","Event":5001,"Process":"b","Upstream":"u12"}
+{"@timestamp":"2026-02-02T18:00:10.000000Z","Event":6001,"Process":"a","Request":"x1","Service":"books","Tries":"u12 by b-1 (3 of 4 slots) took 1s: Timeout"}
+`
+	var l Log
+	is.NoErr(l.Read(strings.NewReader(text)))
+	r, ok := l.Explain("x1")
+	is.True(ok)
+	is.Equal(len(r.KnownState), 1)
+	is.Equal(r.KnownState[0].Fields["Upstream"], "u12")
+}
