--- a/forwarder/share_test.go
+++ b/forwarder/share_test.go
@@ -8,6 +8,16 @@
 	"pimentorelay.example/pimento"
 )
 
+// weightedRoute returns a route with services of the given weights, and their sum.
+func weightedRoute(weights []int) (r *pimento.Route, sum int) {
+	r = &pimento.Route{Name: "r"}
+	for i, w := range weights {
+		r.Targets = append(r.Targets, pimento.Target{Service: pimento.ServiceName('a' + rune(i)), Weight: w})
+		sum += w
+	}
+	return r, sum
+}
+
 // TestWeightedTargets checks that the services of a route get exactly their
 // weights over whole cycles and are less than two requests off at any time, also
 // after the weights change.
@@ -15,12 +25,7 @@
 	is := is.New(t)
 	f := &Forwarder{}
 	for _, weights := range [][]int{{3, 1}, {50, 30, 20}, {1, 0}, {7, 7, 1}} {
-		r := &pimento.Route{Name: "r"}
-		sum := 0
-		for i, w := range weights {
-			r.Targets = append(r.Targets, pimento.Target{Service: pimento.ServiceName('a' + rune(i)), Weight: w})
-			sum += w
-		}
+		r, sum := weightedRoute(weights)
 		got := make(map[pimento.ServiceName]int)
 		for n := 1; n <= 20*sum; n++ {
 			got[f.nextTarget(r)]++
@@ -44,12 +49,7 @@
 		processes, requests int
 	}{{830, 1}, {80, 4}, {80, 6}} {
 		for _, weights := range [][]int{{1, 1}, {75, 25}, {90, 10}, {50, 30, 20}, {1, 0}, {7000, 3000}} {
-			r := &pimento.Route{Name: "r"}
-			sum := 0
-			for i, w := range weights {
-				r.Targets = append(r.Targets, pimento.Target{Service: pimento.ServiceName('a' + rune(i)), Weight: w})
-				sum += w
-			}
+			r, sum := weightedRoute(weights)
 			got := make(map[pimento.ServiceName]int)
 			for range c.processes {
 				f := &Forwarder{}
--- a/router/manifest_test.go
+++ b/router/manifest_test.go
@@ -186,6 +186,26 @@
 	}, func(*messenger.Message) {})
 }
 
+// startFollower starts a task of the follower of a process that l leads. stop ends
+// all and waits for tasks.
+func startFollower(t *testing.T, l *fakeLeader, source pimento.Source, store pimento.Store, task func(*follower, context.Context) error) (r *Router, tasks *sync.WaitGroup, stop func()) {
+	t.Helper()
+	r = &Router{Source: source, Bounds: pimento.DefaultBounds(), Store: store}
+	r.self = pimento.Process{ID: "me", Host: "h"}
+	r.assemble()
+	l.router = r
+	l.epoch.Store(1)
+	ctx, cancel := context.WithCancel(t.Context())
+	tasks = &sync.WaitGroup{}
+	tasks.Go(func() { _ = r.leader.Run(ctx) }) // the errors are that of ctx
+	tasks.Go(func() { _ = task(r.follower, ctx) })
+	tasks.Go(func() { l.run(ctx) })
+	return r, tasks, func() {
+		cancel()
+		tasks.Wait()
+	}
+}
+
 // pushUpstreams sends the state of the only upstream.
 func (l *fakeLeader) pushUpstreams(version uint64, state pimento.State) {
 	l.router.leader.HandleState("leader", &messenger.State{
@@ -267,24 +287,15 @@
 				defer restore()
 				source := &manifestStore{}
 				source.put(1)
-				r := &Router{Source: source, Bounds: pimento.DefaultBounds(), Store: &busyStore{}}
+				var store pimento.Store = &busyStore{}
 				if c.leads {
-					r.Store = &memoryStore{}
+					store = &memoryStore{}
 				}
-				r.self = pimento.Process{ID: "me", Host: "h"}
-				r.assemble()
-				ctx, cancel := context.WithCancel(t.Context())
-				var tasks sync.WaitGroup
-				defer tasks.Wait()
-				defer cancel()
-				for _, run := range []func(context.Context) error{r.leader.Run, r.follower.watchManifest} {
-					tasks.Go(func() { _ = run(ctx) }) // the error is that of ctx
-				}
-				l := &fakeLeader{router: r}
+				l := &fakeLeader{}
 				l.version.Store(1)
-				l.epoch.Store(1)
 				l.silent.Store(c.leads)
-				tasks.Go(func() { l.run(ctx) })
+				r, tasks, stop := startFollower(t, l, source, store, (*follower).watchManifest)
+				defer stop()
 				time.Sleep(3 * time.Second)
 				if v := r.follower.Versions().Manifest; v != 1 || r.leader.IsLeader() != c.leads {
 					t.Fatalf("before the change: manifest %d, leads %t", v, r.leader.IsLeader())
@@ -324,20 +335,10 @@
 				restore := timekeeper.SetClock(time.Now)
 				defer restore()
 				source := &upstreamStore{}
-				r := &Router{Source: source, Bounds: pimento.DefaultBounds(), Store: &busyStore{}}
-				r.self = pimento.Process{ID: "me", Host: "h"}
-				r.assemble()
-				ctx, cancel := context.WithCancel(t.Context())
-				var tasks sync.WaitGroup
-				defer tasks.Wait()
-				defer cancel()
-				for _, run := range []func(context.Context) error{r.leader.Run, r.follower.pollState} {
-					tasks.Go(func() { _ = run(ctx) }) // the error is that of ctx
-				}
-				l := &fakeLeader{router: r}
-				l.epoch.Store(1)
+				l := &fakeLeader{}
 				l.upstreams.Store(1)
-				tasks.Go(func() { l.run(ctx) })
+				r, _, stop := startFollower(t, l, source, &busyStore{}, (*follower).pollState)
+				defer stop()
 				time.Sleep(300 * time.Millisecond)
 				l.pushUpstreams(1, pimento.StateArriving)
 				time.Sleep(3 * time.Second)
