Let a test wait until the last answer is counted

What callers saw: nothing.

Cause: a request counts as active until shortly after its answer is written; the test looked at once.

Evidence: Active was 1 in the run that failed; the count falls after sendAnswer in writeAnswers.

Change: the test waits for the count, for a second at most.

--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -461,6 +461,10 @@
 				is.NoErr(err)
 				is.Equal(res.StatusCode, 502) // the handler says that it may have run
 			}
+			end := time.Now().Add(time.Second)
+			for a.Active() > 0 && time.Now().Before(end) { // counted down after the answer is written
+				time.Sleep(time.Millisecond)
+			}
 			is.Equal(a.Active(), 0)
 		})
 	}
