--- a/leader/push_test.go
+++ b/leader/push_test.go
@@ -22,6 +22,7 @@
 	delivered delivery = "delivered"
 	noReply   delivery = "no reply" // it is applied, and the reply is lost
 	lost      delivery = "lost"
+	late      delivery = "late" // it is applied only just before the next one
 )
 
 var errLostReply = errors.New("the reply was lost")
@@ -31,10 +32,19 @@
 	to       *receiver
 	next     delivery
 	received []*messenger.State
+	held     *messenger.State // a late one
 }
 
 func (p *fakePeers) Call(_ context.Context, _ pimento.Process, m *messenger.Message) (*messenger.Message, error) {
-	if p.next == lost {
+	if p.held != nil {
+		p.to.apply(p.held)
+		p.held = nil
+	}
+	switch p.next {
+	case late:
+		p.held = m.State
+		return nil, errLostReply
+	case lost:
 		return nil, errLostReply
 	}
 	p.received = append(p.received, m.State)
@@ -164,6 +174,7 @@
 		{"reply to the change lost, no heartbeat", []delivery{noReply, delivered}, false},
 		{"change lost", []delivery{lost, delivered}, true},
 		{"change lost, no heartbeat", []delivery{lost, delivered}, false},
+		{"change applied late", []delivery{late, delivered}, true},
 		{"reply to the return lost", []delivery{delivered, noReply}, true},
 		{"both replies lost", []delivery{noReply, noReply}, true},
 	} {
