--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -48,6 +48,9 @@
 // Snapshot is the known state of upstreams, keys and dispatchers. It must not
 // change after it was passed to Update.
 type Snapshot struct {
+	// Sequence orders the snapshots of one process: Update ignores a lower one than
+	// that of the state in force.
+	Sequence  uint64
 	Services  []pimento.Service
 	Upstreams []scheduler.Upstream
 	Owners    map[pimento.ServiceName][]scheduler.Owner
@@ -151,6 +154,10 @@
 	a.init()
 	now := time.Now()
 	a.mu.Lock()
+	if next.Sequence < a.state.Sequence {
+		a.mu.Unlock()
+		return
+	}
 	a.recordRestarts(now, next)
 	a.state = next
 	var callbacks []func()
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -245,3 +245,22 @@
 	is.True(errors.As(err, &out))
 	is.Equal(out.Reason, pimento.ReasonQuarantined)
 }
+
+// TestOlderSnapshotIsIgnored guards against a snapshot that is passed on late, by
+// another goroutine than a newer one, and takes upstreams and owners back.
+func TestOlderSnapshotIsIgnored(t *testing.T) {
+	is := is.New(t)
+	a := &Admitter{Self: pimento.Process{ID: "a"}}
+	snapshot := func(sequence uint64, name pimento.UpstreamName) *Snapshot {
+		return &Snapshot{Sequence: sequence, Upstreams: []scheduler.Upstream{{Server: pimento.Server{Name: name}}}}
+	}
+	for _, x := range []struct {
+		sequence uint64
+		name     pimento.UpstreamName
+		known    bool // afterwards
+	}{{1, "u1", true}, {3, "u3", true}, {2, "u2", false}, {3, "u3", true}, {4, "u4", true}} {
+		a.Update(snapshot(x.sequence, x.name))
+		_, known := a.server(x.name)
+		is.Equal(known, x.known)
+	}
+}
--- a/router/follower.go
+++ b/router/follower.go
@@ -33,6 +33,7 @@
 	view atomic.Pointer[forwarder.View]
 
 	mu              sync.Mutex
+	snapshots       uint64 // taken so far
 	versions        messenger.Versions
 	encodedManifest []byte // as stored
 	announced       announcement
@@ -198,8 +199,9 @@
 
 // snapshot returns the known state for the admitter. The caller holds mu.
 func (f *follower) snapshot() *admitter.Snapshot {
+	f.snapshots++
 	s := &admitter.Snapshot{
-		Upstreams: f.listUpstreams(), Owners: f.owners, OwnersVersion: f.versions.Owners,
+		Sequence: f.snapshots, Upstreams: f.listUpstreams(), Owners: f.owners, OwnersVersion: f.versions.Owners,
 		Processes: make(map[pimento.ProcessID]pimento.Process),
 	}
 	if v := f.view.Load(); v != nil {
