--- a/leader/grants.go
+++ b/leader/grants.go
@@ -71,17 +71,18 @@
 	}
 	go func() {
 		sentAt := timekeeper.Now()
-		result := keeper.ResultUnsent
+		result, cause := keeper.ResultUnsent, errNotGranting
 		if known && l.HasAuthority() {
 			ctx, cancel := context.WithTimeout(t.ctx, l.KeeperTiming.AnswerTimeout)
-			result = grantResult(l.Grantor.Grant(ctx, s, c.Grant))
+			cause = l.Grantor.Grant(ctx, s, c.Grant)
+			result = grantResult(cause)
 			cancel()
 		}
 		l.postTerm(t, func() {
 			q.granting = false
 			l.keeper.HandleGrantResult(timekeeper.Now(), sentAt, c, result)
 			if result != keeper.ResultAccepted {
-				l.Events.Emit(pimento.EventGrantFailed, "Service", c.Service, "Upstream", c.Run.Upstream, "Keys", c.Grant.Range, "Fence", c.Grant.Fence, "Result", result)
+				l.Events.Emit(pimento.EventGrantFailed, "Service", c.Service, "Upstream", c.Run.Upstream, "Keys", c.Grant.Range, "Fence", c.Grant.Fence, "Result", result, "Cause", cause)
 			}
 			l.startCalls(q)
 		})
@@ -183,3 +184,6 @@
 	}
 	return "/"
 }
+
+// errNotGranting is the cause of a grant that was not attempted.
+var errNotGranting = errors.New("the upstream is not known, or this process has no authority")
