Try an idle owner, and let no short route make it look slow

Cause, two of one class, an estimate that nothing corrects: an upstream whose answers had been slow was refused all requests, and only answers correct the estimate of its speed; a request of a route that takes 5 ms counted as overrun after 15 ms, and raised the expected duration of all others at its upstream up to forty times.

Both tests of recovery_test.go failed: 60 of 60 requests to an idle owner refused; a request refused beside one of a short route.

Change: an idle owner gets the next request that its deadline allows; a running request counts as overrun only against the mean of all routes at least.

Result: both tests pass, scheduler's others too.

--- /dev/null
+++ b/scheduler/recovery_test.go
@@ -0,0 +1,83 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pimentorelay.example/pimento"
+)
+
+// owned is a pool with one upstream that owns all keys, driven on virtual time.
+type owned struct {
+	pool *Pool
+	now  time.Time
+	id   uint64
+}
+
+func newOwned() *owned {
+	o := &owned{pool: New(Config{Keyed: true}), now: time.Unix(1_800_000_000, 0)}
+	o.pool.SetUpstreams([]Upstream{{Usable: true, Server: pimento.Server{Name: "u", Slots: 4}}})
+	o.pool.SetOwners([]Owner{{KeyRange: pimento.KeyRange{From: 0, To: pimento.MaxKey}, Upstream: "u", Ready: true}})
+	return o
+}
+
+// offer offers a request and returns its ticket and whether it got a permit.
+func (o *owned) offer(route pimento.RouteName, goal, deadline time.Duration) (uint64, bool) {
+	o.id++
+	for _, d := range o.pool.Offer(o.now, Ticket{ID: o.id, Route: route, Arrived: o.now, GoalAt: o.now.Add(goal), Deadline: o.now.Add(deadline)}) {
+		if d.Ticket == o.id {
+			return o.id, d.Refusal == nil
+		}
+	}
+	return o.id, false
+}
+
+// serve offers a request that takes some time, and reports whether it got a permit.
+func (o *owned) serve(route pimento.RouteName, took, goal, deadline time.Duration) bool {
+	id, permitted := o.offer(route, goal, deadline)
+	o.now = o.now.Add(took)
+	o.pool.Done(o.now, id, Result{Kind: ResultAnswered, Took: took})
+	return permitted
+}
+
+// TestIdleUpstreamIsTried guards against an upstream that was slow and is refused all
+// requests from then on: only answers correct the estimate of its speed.
+func TestIdleUpstreamIsTried(t *testing.T) {
+	is := is.New(t)
+	const usual, goal, deadline = 220 * time.Millisecond, 800 * time.Millisecond, 3 * time.Second
+	o := newOwned()
+	for range 50 {
+		o.serve("reads", usual, goal, deadline)
+	}
+	for range 12 {
+		o.serve("reads", 2900*time.Millisecond, time.Minute, time.Minute)
+	}
+	refused := 0
+	for range 60 {
+		if !o.serve("reads", usual, goal, deadline) {
+			refused++
+		}
+	}
+	is.Equal(refused, 0)
+	is.True(o.pool.upstreams["u"].slowness.value() < 2)
+}
+
+// TestShortRouteDoesNotMakeItsUpstreamLookSlow guards against a request of a route that
+// usually takes milliseconds, and whose delay is taken for a slow upstream: all other
+// requests to it were refused, with slots free.
+func TestShortRouteDoesNotMakeItsUpstreamLookSlow(t *testing.T) {
+	is := is.New(t)
+	const goal, deadline = 800 * time.Millisecond, 3 * time.Second
+	o := newOwned()
+	for range 50 {
+		o.serve("reads", 220*time.Millisecond, goal, deadline)
+		o.serve("tests", 5*time.Millisecond, goal, deadline)
+	}
+	_, permitted := o.offer("tests", goal, deadline)
+	is.True(permitted)
+	o.now = o.now.Add(300 * time.Millisecond)
+	_, permitted = o.offer("reads", goal, deadline)
+	is.True(permitted)
+}
--- a/scheduler/slowness.go
+++ b/scheduler/slowness.go
@@ -121,11 +121,13 @@
 }
 
 // expectedDuration returns how long a request would take at an upstream.
-// Running requests that overrun show a slow upstream before its answers do.
+// Running requests that overrun show a slow upstream before its answers do; a short
+// route's must overrun as far as any other's, since a delay of milliseconds shows
+// nothing.
 func (p *Pool) expectedDuration(now time.Time, t *Ticket, u *upstream) time.Duration {
 	f := u.slowness.value() * u.hostSlowness.value(now)
 	for _, r := range u.running {
-		mean := p.meanServiceTime(r.ticket.Route)
+		mean := max(p.meanServiceTime(r.ticket.Route), p.overallServiceTime.mean)
 		if age := now.Sub(r.startedAt); mean > 0 && age > mean*overrunFactor {
 			f = max(f, float64(age)/float64(mean)/overrunFactor)
 		}
--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -262,6 +262,9 @@
 	wait := time.Duration(float64(ahead) / c.throughput * float64(time.Second))
 	if p.canAccept(now, u) && ahead == 1 {
 		wait = 0
+		if len(u.running) == 0 && now.Add(p.meanServiceTime(t.Route)).Before(t.Deadline) {
+			return nil // only its answers can correct the estimate
+		}
 	}
 	return p.checkWait(now, t, wait, p.expectedDuration(now, t, u), c)
 }
