Grant keys to an upstream that is too busy to answer a probe

What callers saw: nothing attributed yet; keys lapse at a sound upstream under load.

Cause: before a grant on a connection that the upstream had closed early, a probe asks whether it has restarted.

Evidence: TestGrantToABusyUpstream failed.

Change: the probe has 0.1 s, and no answer counts as busy, not as cold.

Result: the test passes, connector's others too.

--- a/connector/client_test.go
+++ b/connector/client_test.go
@@ -565,6 +565,41 @@
 	}
 }
 
+// TestGrantToABusyUpstream guards against keys that lapse at a sound upstream,
+// because it has closed an idle connection early and is too busy to answer a probe.
+func TestGrantToABusyUpstream(t *testing.T) {
+	const grantTimeout = 600 * time.Millisecond
+	is := is.New(t)
+	grant := func(p *peer) bool {
+		req, err := p.readRequest(true)
+		if err != nil {
+			return false
+		}
+		if req.Method == http.MethodGet { // a probe waits for a slot and gets none
+			_, err = p.Read(make([]byte, 1))
+			return false
+		}
+		fmt.Fprint(p, "HTTP/1.1 200 OK\r\nPimentorelay-Instance-Id: i-1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	}
+	s := newFakeServer(t, func(p *peer) {
+		grant(p)
+		p.Close()
+	}, func(p *peer) {
+		for grant(p) {
+		}
+	})
+	client := s.client()
+	client.HealthPath = "/healthz"
+	g := pimento.KeyGrant{Range: pimento.KeyRange{From: 1, To: 2}, Fence: 3, Hold: time.Second}
+	for range 3 { // the first one before, the others after the early close
+		ctx, cancel := context.WithTimeout(t.Context(), grantTimeout)
+		is.NoErr(client.Grant(ctx, g))
+		cancel()
+		time.Sleep(30 * time.Millisecond)
+	}
+}
+
 // TestNoRequestAfterColdRestart checks that a request is not sent to an upstream
 // that has restarted and is cold before its dispatcher knows, and that the
 // upstream is probed only once.
--- a/connector/control.go
+++ b/connector/control.go
@@ -43,7 +43,8 @@
 // ensureNotRestarted probes an upstream that has closed an idle connection early.
 // If it is cold, it has probably restarted and must not get a grant meant for its
 // former run: it would hold keys of which it has no state, and get as many
-// requests as before.
+// requests as before. One that does not answer the probe in time is busy, not cold,
+// and gets the grant: its keys would lapse otherwise.
 func (c *Client) ensureNotRestarted(ctx context.Context) error {
 	if c.HealthPath == "" {
 		return nil
@@ -51,8 +52,10 @@
 	if time.Since(c.pruneIdleConns(time.Now())) > restartWindow {
 		return nil
 	}
-	_, metadata, err := c.Probe(ctx, c.HealthPath)
-	if err != nil {
+	probeCtx, cancel := context.WithTimeout(ctx, restartProbeTimeout)
+	defer cancel()
+	_, metadata, err := c.Probe(probeCtx, c.HealthPath)
+	if err != nil && probeCtx.Err() == nil {
 		return &pimento.UnreachableError{Target: string(c.Server.Name), Cause: err, Unsent: true}
 	}
 	if metadata.ColdFor > 0 {
@@ -64,9 +67,9 @@
 	return nil
 }
 
-// restartProbeTimeout bounds the health probe before a request. If the probe is
-// not answered by then, the request is sent: it waits at the upstream no longer
-// than here.
+// restartProbeTimeout bounds the health probe before a request or a grant. If the
+// probe is not answered by then, the request is sent: it waits at the upstream no
+// longer than here.
 const restartProbeTimeout = 100 * time.Millisecond
 
 // detectRestart probes, once, an upstream that has closed an idle connection
