Refuse at once what waits for a key of another pool

Cause: senders find the dispatcher by the owner of the key as they know it. While keys move, the owner may be in another pool by then; the dispatcher asked does not have that upstream, and let the request wait for it.

Evidence: TestKeyOfAnotherPool failed in both cases.

Change: such a request is refused as not run, when it comes and when its key moves while it waits.

Result: the test passes; scheduler and admitter pass.

--- a/scheduler/recovery_test.go
+++ b/scheduler/recovery_test.go
@@ -81,3 +81,35 @@
 	_, permitted = o.offer("reads", goal, deadline)
 	is.True(permitted)
 }
+
+// TestKeyOfAnotherPool guards against a request that waits until its deadline at a
+// dispatcher whose pool does not have the owner of its key, because the key has moved
+// there before or after the request came.
+func TestKeyOfAnotherPool(t *testing.T) {
+	elsewhere := []Owner{{KeyRange: pimento.KeyRange{From: 0, To: pimento.MaxKey}, Upstream: "other", Ready: true}}
+	for _, c := range []struct {
+		name   string
+		before bool // the key moves before the request comes
+	}{{"before", true}, {"while it waits", false}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			o := newOwned()
+			for range 4 { // all slots
+				o.offer("reads", time.Second, 3*time.Second)
+			}
+			if c.before {
+				o.pool.SetOwners(elsewhere)
+			}
+			o.id++
+			decisions := o.pool.Offer(o.now, Ticket{ID: o.id, Route: "reads", Arrived: o.now, GoalAt: o.now.Add(time.Second), Deadline: o.now.Add(3 * time.Second)})
+			if !c.before {
+				is.Equal(len(decisions), 0)
+				o.pool.SetOwners(elsewhere)
+				decisions = o.pool.Tick(o.now)
+			}
+			is.Equal(len(decisions), 1)
+			is.True(decisions[0].Refusal != nil)
+			is.Equal(o.pool.Waiting(), 0)
+		})
+	}
+}
--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -116,11 +116,16 @@
 	return now.Add(scale(p.meanServiceTime(t.Route), p.upperRatio(t.Route))).After(t.GoalAt)
 }
 
-// expire refuses waiting requests that cannot be answered before their deadline.
+// expire refuses waiting requests that cannot be answered before their deadline, or
+// whose keys have gone to another pool.
 func (p *Pool) expire(now time.Time) []Decision {
 	var out []Decision
 	contended := len(p.waiting) > 1
 	p.waiting = slices.DeleteFunc(p.waiting, func(t *Ticket) bool {
+		if p.config.Keyed && p.isForeign(t.Key) {
+			out = append(out, Decision{Ticket: t.ID, Refusal: p.refuse(0, foreignDetail)})
+			return true
+		}
 		margin := answerMargin
 		if contended {
 			margin = max(margin, scale(p.meanServiceTime(t.Route), contendedShare))
@@ -178,6 +183,16 @@
 	return p.refuse(retryAfter, fmt.Sprintf("room is expected only after %s", wait.Round(time.Millisecond)))
 }
 
+// isForeign reports whether a key has a ready owner that this pool does not know: it
+// is in another pool, or gone. A request for it would wait here in vain.
+func (p *Pool) isForeign(k pimento.Key) bool {
+	u, o := p.ownerUpstream(k)
+	return u == nil && o.Ready && o.Upstream != ""
+}
+
+// foreignDetail is the detail of the refusal of a request for such a key.
+const foreignDetail = "the holder of the key is not in this pool"
+
 // contention is the capacity that a request competes for and the load on it: of
 // all upstreams of a pool, or of the one that owns its key.
 type contention struct {
@@ -235,6 +250,9 @@
 // checkKeyedAdmission is checkAdmission for a request that only the owner of its
 // key may run.
 func (p *Pool) checkKeyedAdmission(now time.Time, t *Ticket) *pimento.OutcomeError {
+	if p.isForeign(t.Key) {
+		return p.refuse(0, foreignDetail)
+	}
 	u, o := p.ownerUpstream(t.Key)
 	if u == nil || !o.Ready {
 		if wait := o.ReadyAt.Sub(now); wait > maxOwnerWait || o.Upstream == "" && o.ReadyAt.IsZero() {
