--- a/connector/client_test.go
+++ b/connector/client_test.go
@@ -576,8 +576,9 @@
 			return false
 		}
 		if req.Method == http.MethodGet { // a probe waits for a slot and gets none
-			_, err = p.Read(make([]byte, 1))
-			return false
+			if _, err := p.Read(make([]byte, 1)); err != nil {
+				return false
+			}
 		}
 		fmt.Fprint(p, "HTTP/1.1 200 OK\r\nPimentorelay-Instance-Id: i-1\r\nContent-Length: 0\r\n\r\n")
 		return true
