--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -74,7 +74,7 @@
 	OnTruncated func(r *pimento.Request, err error)
 
 	once     sync.Once
-	requests context.Context // ended by endRequests
+	requests context.Context // ended by EndRequests
 	endAll   context.CancelCauseFunc
 
 	mu       sync.Mutex
