Read the limits that upstreams name, and log them

What callers saw: nothing. Change: the header is decoded in both protocols (none, several, zero, negative, NaN and huge values in a table), package limiter keeps what answers said, events 5006 to 5008, metric relay_upstream_limit, and 'relayctl explain' show it. Nothing is limited yet.

--- a/admitter/acquire.go
+++ b/admitter/acquire.go
@@ -120,7 +120,12 @@
 		Dispatcher: a.Self.ID, Running: d.Running, Slots: d.Slots, Expected: d.Expected, Owners: a.ownersVersion(),
 	}
 	release := func(r scheduler.Result) { a.releasePermit(key, d.Ticket, r) }
-	return &permit{server: s, basis: basis, client: a.client(s), release: release}, nil
+	return a.newPermit(s, basis, release), nil
+}
+
+// newPermit returns a permit for an upstream.
+func (a *Admitter) newPermit(s pimento.Server, basis forwarder.Basis, release func(scheduler.Result)) *permit {
+	return &permit{admitter: a, server: s, basis: basis, client: a.client(s), release: release}
 }
 
 // contextError returns the error of a request whose context ended before it
@@ -183,7 +188,7 @@
 		}
 	}
 	basis := forwarder.Basis{Dispatcher: p.ID, Running: m.Running, Slots: m.Slots, Expected: m.Expected, Owners: m.Owners}
-	return &permit{server: s, basis: basis, client: a.client(s), release: release}, nil
+	return a.newPermit(s, basis, release), nil
 }
 
 // doneTimeout bounds the message that returns a permit.
@@ -191,12 +196,13 @@
 
 // permit implements forwarder.Permit.
 type permit struct {
-	server  pimento.Server
-	basis   forwarder.Basis
-	client  *connector.Client
-	release func(scheduler.Result)
-	sentAt  time.Time
-	result  scheduler.Result
+	admitter *Admitter
+	server   pimento.Server
+	basis    forwarder.Basis
+	client   *connector.Client
+	release  func(scheduler.Result)
+	sentAt   time.Time
+	result   scheduler.Result
 }
 
 // Upstream implements forwarder.Permit.
@@ -210,6 +216,7 @@
 	p.sentAt = time.Now()
 	answer, metadata, err := p.client.Send(ctx, r, body)
 	p.result = scheduler.Result{Kind: resultKind(answer, err), Took: time.Since(p.sentAt), Load: metadata.Load, HasLoad: metadata.HasLoad, ColdFor: metadata.ColdFor}
+	p.admitter.observeLimit(p.sentAt, p.server.Name, metadata, err)
 	return answer, metadata, err
 }
 
--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -21,10 +21,12 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/limiter"
 	"pimentorelay.example/pimento/messenger"
 	"pimentorelay.example/pimento/quarantiner"
 	"pimentorelay.example/pimento/scheduler"
@@ -95,6 +97,8 @@
 	Peers       Peers
 	Wire        pimento.UpstreamWire
 	RetryBudget RetryBudget // once running, change it with SetRetryBudget
+	// OnLimit is called for each change of the limit of an upstream; it may be nil.
+	OnLimit func(limiter.Change)
 
 	mu         sync.Mutex
 	quarantine *quarantiner.Machine
@@ -104,6 +108,7 @@
 	clients    map[runKey]*runClient
 	wake       chan struct{}
 	lastTicket uint64
+	limits     limiter.Book
 	once       sync.Once
 }
 
@@ -166,10 +171,16 @@
 		callbacks = append(callbacks, p.applyDecisions(p.machine.Tick(now))...)
 	}
 	a.closeIdleClients(now)
+	a.limits.Retain(now, a.isKnown)
 	a.mu.Unlock()
 	runAll(callbacks)
 }
 
+// isKnown reports whether an upstream is registered. The caller holds mu.
+func (a *Admitter) isKnown(name pimento.UpstreamName) bool {
+	return slices.ContainsFunc(a.state.Upstreams, func(u scheduler.Upstream) bool { return u.Name == name })
+}
+
 // SetRetryBudget replaces the retry budget of a running Admitter.
 func (a *Admitter) SetRetryBudget(b RetryBudget) {
 	a.init()
@@ -362,8 +373,10 @@
 	for _, p := range a.pools {
 		waiting = waiting || p.machine.Waiting() > 0
 	}
+	changes := a.limits.Changes(now)
 	a.mu.Unlock()
 	runAll(callbacks)
+	a.reportLimits(changes)
 	return waiting
 }
 
--- a/event.go
+++ b/event.go
@@ -34,6 +34,9 @@
 	EventUpstreamBack    EventNumber = 5002
 	EventRecordsLost     EventNumber = 5004
 	EventRecordNotKept   EventNumber = 5005
+	EventLimitNamed      EventNumber = 5006
+	EventLimitEnded      EventNumber = 5007
+	EventLimitInvalid    EventNumber = 5008
 	EventGrantFailed     EventNumber = 4007
 	EventReleased        EventNumber = 4008
 	EventKeysMoved       EventNumber = 4009
@@ -72,6 +75,9 @@
 	EventUpstreamBack:    "upstream answers again",
 	EventRecordsLost:     "request records may be lost",
 	EventRecordNotKept:   "the end of a request could not be recorded",
+	EventLimitNamed:      "upstream names a limit",
+	EventLimitEnded:      "upstream names no limit any more",
+	EventLimitInvalid:    "upstream names a limit that is not valid",
 	EventGrantFailed:     "grant of keys failed",
 	EventReleased:        "release of keys ended",
 	EventKeysMoved:       "keys go to another upstream",
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -148,6 +148,7 @@
 	pimento.EventStoreLost:       "platform", pimento.EventStoreRecovered: "platform",
 	pimento.EventLeading: "leader", pimento.EventLeadingEnded: "leader", pimento.EventTermAdopted: "term",
 	pimento.EventUpstreamLost: "upstream", pimento.EventUpstreamBack: "upstream", pimento.EventGrantFailed: "grant",
+	pimento.EventLimitNamed: "limit", pimento.EventLimitEnded: "limit", pimento.EventLimitInvalid: "limit",
 	pimento.EventReleased: "release", pimento.EventKeysMoved: "keys",
 	pimento.EventProcessStopping: "process", pimento.EventProcessStarted: "process", pimento.EventSettingsChanged: "settings",
 }
@@ -163,7 +164,7 @@
 		attempts := step.Fields["Tries"] + " " + step.Fields["By"]
 		involved := x.Process == step.Process || containsName(attempts, string(x.Process))
 		switch subject {
-		case "upstream", "grant", "release":
+		case "upstream", "grant", "release", "limit":
 			coversKey := x.Fields["Service"] == step.Fields["Service"] && rangeContains(x.Fields["Keys"], step.Fields["Key"])
 			if coversKey || containsName(attempts, x.Fields["Upstream"]) {
 				return subject + " " + x.Fields["Upstream"], true
--- a/header.go
+++ b/header.go
@@ -19,6 +19,7 @@
 	HeaderUpstream       = "Relay-Upstream" // the only one that may run the request
 	HeaderLoad           = "Relay-Load"     // running, waiting, slots
 	HeaderCold           = "Relay-Cold"     // how long the upstream stays cold
+	HeaderLimit          = "Relay-Limit"    // requests a second from all processes together
 	HeaderHandover       = "Relay-Handover"
 )
 
--- a/router/observer.go
+++ b/router/observer.go
@@ -11,6 +11,7 @@
 
 	"pimentorelay.example/pimento"
 	"pimentorelay.example/pimento/forwarder"
+	"pimentorelay.example/pimento/limiter"
 	"pimentorelay.example/pimento/recorder"
 )
 
@@ -86,6 +87,21 @@
 	}
 }
 
+// limitChanged logs and records a change of the limit of an upstream.
+func (o *observer) limitChanged(c limiter.Change) {
+	gauge := metricName("relay_upstream_limit", []any{"Upstream", c.Upstream})
+	switch {
+	case c.Invalid != "":
+		o.events.Emit(pimento.EventLimitInvalid, "Upstream", c.Upstream, "Value", c.Invalid)
+	case c.Ended:
+		o.metrics.UnregisterMetric(gauge)
+		o.events.Emit(pimento.EventLimitEnded, "Upstream", c.Upstream)
+	default:
+		o.metrics.GetOrCreateGauge(gauge, nil).Set(float64(c.Rate))
+		o.events.Emit(pimento.EventLimitNamed, "Upstream", c.Upstream, "Rate", float64(c.Rate))
+	}
+}
+
 // countRequest records the outcome and duration of a request.
 func (o *observer) countRequest(route pimento.RouteName, outcome pimento.Outcome, reason pimento.Reason, t *forwarder.Trace) {
 	o.count("relay_requests_total", "Route", route, "Outcome", outcome, "Reason", reason)
--- a/translator/wire.go
+++ b/translator/wire.go
@@ -161,6 +161,7 @@
 	if d, err := time.ParseDuration(h.Get(pimento.HeaderCold)); err == nil {
 		m.ColdFor = d
 	}
+	m.Limit = pimento.ReadLimitNotice(h.Values(pimento.HeaderLimit))
 	pimento.StripInternal(h)
 	return m
 }
--- a/wire.go
+++ b/wire.go
@@ -64,6 +64,7 @@
 	HasLoad     bool
 	IdleTimeout time.Duration // after which the upstream closes the connection; zero: unspecified
 	ColdFor     time.Duration // how long the upstream stays cold
+	Limit       LimitNotice
 }
 
 // UpstreamWire translates between the protocol of upstreams and the domain types.
