Reproduce upstreams that get more than their limit

The stand-in names limits in its answers, in turn, and counts what it gets since. TestUpstreamGetsMoreThanItsLimit runs five processes under load and lets two upstreams name a limit; the bounds are those of the rule.

--- a/assembler/failure_test.go
+++ b/assembler/failure_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"strings"
 	"sync"
@@ -13,7 +12,6 @@
 
 	"pimentorelay.example/pimento"
 	"pimentorelay.example/pimento/assembler"
-	"pimentorelay.example/pimento/leader"
 	"pimentorelay.example/pimento/parser"
 	"pimentorelay.example/pimento/sender"
 	"pimentorelay.example/pimento/storefaker"
@@ -206,14 +204,7 @@
 // the primary and the backup.
 func orderReplicas(t *testing.T, d *assembler.Deployment) [2]int {
 	t.Helper()
-	e, err := d.Client().Get(t.Context(), leader.KindAssignment, leader.AssignmentName)
-	if err != nil {
-		t.Fatal(err)
-	}
-	var a pimento.Assignment
-	if err := json.Unmarshal(e.Value, &a); err != nil {
-		t.Fatal(err)
-	}
+	a := storedAssignment(t, d)
 	var out [2]int
 	for i := range out {
 		for n := range 5 {
--- /dev/null
+++ b/assembler/limit_test.go
@@ -0,0 +1,149 @@
+package assembler_test
+
+import (
+	"encoding/json"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/assembler"
+	"pimentorelay.example/pimento/leader"
+	"pimentorelay.example/pimento/sender"
+	"pimentorelay.example/pimento/upstreamfaker"
+)
+
+// The promise about limits: in each limitPeriod that begins limitSettling after a
+// limit was first named, an upstream gets at most limitFactor times as many
+// requests as the limit allows, and limitSlack more.
+const (
+	limitPeriod   = 4 * time.Second
+	limitSettling = 3 * time.Second
+	limitFactor   = 1.5
+	limitSlack    = 5
+)
+
+// allowedBy returns the most requests in limitPeriod under a limit.
+func allowedBy(perSecond float64) int {
+	return int(limitFactor*perSecond*limitPeriod.Seconds() + limitSlack)
+}
+
+// limitCase is a limit that two upstreams name from the beginning, and what happens
+// a while later.
+type limitCase struct {
+	name  string
+	limit []string // that answers name, in turn
+	rate  float64  // that counts
+	// silence is how long nothing is sent before the last period.
+	silence time.Duration
+	// victims returns the processes that are killed; nil: none.
+	victims func(a *pimento.Assignment) []pimento.ProcessID
+}
+
+var limitCases = []limitCase{
+	{name: "steady", limit: []string{"2.9"}, rate: 2.9},
+	{name: "low", limit: []string{"0.5"}, rate: 0.5},
+	{name: "another one in every answer", limit: []string{"4", "2.5", "3"}, rate: 2.5},
+	{name: "in every other answer", limit: []string{"2.9", ""}, rate: 2.9},
+	{name: "twice in an answer", limit: []string{"5, 2.9"}, rate: 2.9},
+	{name: "burst after silence", limit: []string{"2.9"}, rate: 2.9, silence: 4 * time.Second},
+	{name: "dispatchers are killed", limit: []string{"2.9"}, rate: 2.9, victims: dispatchers},
+	{name: "the leader is killed", limit: []string{"2.9"}, rate: 2.9, victims: currentLeader},
+}
+
+// TestUpstreamGetsMoreThanItsLimit guards against processes that each send what an
+// upstream takes from all of them together, or take no notice of its limit.
+func TestUpstreamGetsMoreThanItsLimit(t *testing.T) {
+	for _, c := range limitCases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			d := startDeployment(t)
+			limited := []*upstreamfaker.Server{d.Upstreams["guidebook-1"], d.Upstreams["partsdesk-1"]}
+			var victims []pimento.ProcessID
+			if c.victims != nil {
+				victims = c.victims(storedAssignment(t, d))
+			}
+			s := startLimitedStream(d, victims)
+			time.Sleep(300 * time.Millisecond)
+			for _, u := range limited {
+				u.Inject(upstreamfaker.Faults{Limit: c.limit})
+			}
+			time.Sleep(limitSettling)
+			killProcesses(d, victims)
+			if c.silence > 0 {
+				s.Stop()
+				time.Sleep(c.silence)
+				s = startLimitedStream(d, victims)
+			}
+			time.Sleep(limitPeriod + time.Second)
+			s.Stop()
+			t.Log(s.Summary())
+			for _, u := range limited {
+				is.True(u.NamesLimit())
+				got := u.MostArrivals(limitSettling, limitPeriod)
+				t.Logf("%s: %d requests, allowed %d", u.Name, got, allowedBy(c.rate))
+				is.True(got <= allowedBy(c.rate))
+				is.True(got > 0) // it still gets what it takes
+			}
+			is.Equal(len(s.Summary().Wrong), 0)
+			is.Equal(s.Summary().NotRun, 0) // the rest goes elsewhere, or comes back as told
+			is.NoErr(d.CheckRuns(s.OrderOutcomes()))
+		})
+	}
+}
+
+// startLimitedStream starts a stream of keyed reads and orders, far above the limits
+// of the test, through the entries that are not killed.
+func startLimitedStream(d *assembler.Deployment, victims []pimento.ProcessID) *sender.Stream {
+	s := &sender.Stream{Callers: 4, Keyed: "/TIMEOUT%20504/guide", Orders: "/connection%20refused/order"}
+	for i := range limitEntries {
+		if !slices.Contains(victims, d.Entry(i).Process.ID) {
+			s.URLs = append(s.URLs, d.URL(i))
+		}
+	}
+	s.Start()
+	return s
+}
+
+// limitEntries is the number of entry processes of startDeployment.
+const limitEntries = 5
+
+// storedAssignment reads the assignment from the store.
+func storedAssignment(t *testing.T, d *assembler.Deployment) *pimento.Assignment {
+	t.Helper()
+	e, err := d.Client().Get(t.Context(), leader.KindAssignment, leader.AssignmentName)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := &pimento.Assignment{}
+	if err := json.Unmarshal(e.Value, a); err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+// dispatchers returns the dispatchers of all pools.
+func dispatchers(a *pimento.Assignment) []pimento.ProcessID {
+	var out []pimento.ProcessID
+	for _, p := range a.Pools {
+		out = append(out, p.PreferenceList[0])
+	}
+	return out
+}
+
+// currentLeader returns the leader.
+func currentLeader(a *pimento.Assignment) []pimento.ProcessID {
+	return []pimento.ProcessID{a.Term.Leader}
+}
+
+// killProcesses kills entry processes.
+func killProcesses(d *assembler.Deployment, victims []pimento.ProcessID) {
+	for i := range limitEntries {
+		if slices.Contains(victims, d.Entry(i).Process.ID) {
+			d.Entry(i).Kill()
+		}
+	}
+}
--- a/upstreamfaker/request.go
+++ b/upstreamfaker/request.go
@@ -64,6 +64,7 @@
 	if connStart, ok := r.Context().Value(connStartKey{}).(time.Time); ok && !connStart.Equal(s.started) {
 		panic(http.ErrAbortHandler)
 	}
+	s.limits.recordArrival(time.Now())
 	target := r.Header.Get(d.TargetHeader)
 	if target != "" && target != string(s.Name) || s.Keyed && !s.grants.holds(pimento.Key(key), time.Now()) {
 		s.report.Rejected++
@@ -214,6 +215,7 @@
 		extra = consumeFault(&s.faults.ExtraNext)
 	}
 	load := s.load()
+	limit := s.limits.next(time.Now(), s.faults.Limit)
 	s.mu.Unlock()
 	time.Sleep(delay)
 	id := req.id
@@ -223,6 +225,9 @@
 	body := s.answerBody(r, req, id)
 	w.Header().Set(s.Dialect.IDHeader, id)
 	w.Header().Set(s.Dialect.LoadHeader, formatLoad(load))
+	if limit != "" {
+		w.Header().Set(s.Dialect.LimitHeader, limit)
+	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if cut {
 		w.Write(body[:len(body)/2])
--- a/upstreamfaker/server.go
+++ b/upstreamfaker/server.go
@@ -61,7 +61,9 @@
 	CrashOn   string       // a request whose path or body contains this text crashes the server
 	RestartIn pimento.Span // how long the server stays down after a crash
 	LateGrant pimento.Span // grants get no answer and take effect after this delay
-	Hang      bool         // requests that do not fit into the queue are never answered
+	// Limit holds the limits that answers name, one after the other; an empty text: none.
+	Limit []string
+	Hang  bool // requests that do not fit into the queue are never answered
 }
 
 // Run is one request that took effect.
@@ -107,6 +109,7 @@
 	downUntil time.Time
 	journal   []Run
 	report    Report
+	limits    limits
 	slots     chan struct{}
 	conns     map[net.Conn]bool
 }
