Send an upstream what it takes from all processes together

What callers saw: nothing at first; upstreams in need got two to four times the requests a second that they had named (LIMIT), and answered slowly or failed. Cause: no process read the limit that an answer names. Class: a bound that holds for all processes is nobody's duty. Change: the process that gets the answer tells the dispatcher with the permit that it returns, and the leader with its next heartbeat, which tells all others (package limiter, Done, Report, State). The dispatcher paces (limiter.Pacer); its backups and processes that reach none have shares that add up to half of the limit, and save nothing while nobody asks them. What needs no key goes to other upstreams; the leader counts the limit as capacity, so keys with load move away; requests that cannot be served are refused at once, also those that wait already, each told another time to come back.

--- a/admitter/acquire.go
+++ b/admitter/acquire.go
@@ -177,6 +177,7 @@
 	s := pimento.Server{Name: m.Name, Service: key.service, Address: address, Domain: m.Domain, Started: time.UnixMilli(m.Started)}
 	release := func(r scheduler.Result) {
 		d := &messenger.Done{Service: key.service, Pool: key.index, Ticket: m.Ticket, Kind: string(r.Kind), Took: r.Took, ColdFor: r.ColdFor}
+		d.Limited, d.Limit = r.Limit.Named, r.Limit.Rate
 		if r.HasLoad {
 			d.InFlight, d.Waiting, d.Slots, d.Slowness = r.Load.InFlight, r.Load.Waiting, max(1, r.Load.Slots), r.Load.Slowness
 		}
@@ -215,7 +216,7 @@
 func (p *permit) Serve(ctx context.Context, r *pimento.Request, body io.Reader) (pimento.Answer, pimento.AnswerMetadata, error) {
 	p.sentAt = time.Now()
 	answer, metadata, err := p.client.Send(ctx, r, body)
-	p.result = scheduler.Result{Kind: resultKind(answer, err), Took: time.Since(p.sentAt), Load: metadata.Load, HasLoad: metadata.HasLoad, ColdFor: metadata.ColdFor}
+	p.result = scheduler.Result{Kind: resultKind(answer, err), Took: time.Since(p.sentAt), Load: metadata.Load, HasLoad: metadata.HasLoad, ColdFor: metadata.ColdFor, Limit: metadata.Limit}
 	p.admitter.observeLimit(p.sentAt, p.server.Name, metadata, err)
 	return answer, metadata, err
 }
--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -167,7 +167,7 @@
 	a.state = next
 	var callbacks []func()
 	for key, p := range a.pools {
-		a.updatePool(key, p)
+		callbacks = append(callbacks, p.applyDecisions(a.updatePool(key, p))...)
 		callbacks = append(callbacks, p.applyDecisions(p.machine.Tick(now))...)
 	}
 	a.closeIdleClients(now)
@@ -192,9 +192,9 @@
 	}
 }
 
-// updatePool passes the known state to the scheduler of a pool. The caller
-// holds mu.
-func (a *Admitter) updatePool(key poolKey, p *pool) {
+// updatePool passes the known state to the scheduler of a pool and returns the
+// decisions that follow. The caller holds mu.
+func (a *Admitter) updatePool(key poolKey, p *pool) []scheduler.Decision {
 	count := len(a.state.poolsOf(key.service))
 	var list []scheduler.Upstream
 	for _, u := range a.state.Upstreams {
@@ -206,6 +206,8 @@
 	p.machine.SetRank(a.rank(key))
 	p.machine.SetUpstreams(list)
 	p.machine.SetOwners(a.state.Owners[key.service])
+	now := time.Now()
+	return p.machine.SetLimits(now, a.limits.InForce(now))
 }
 
 // poolConfig returns the scheduler configuration of a pool. The caller holds mu.
@@ -215,7 +217,7 @@
 	return scheduler.Config{
 		Keyed:      s.Sharing == pimento.SharingKeyed,
 		RetryRatio: a.RetryBudget.RetryRatio, RetrySlack: a.RetryBudget.RetrySlack / float64(count), RetryWindow: a.RetryBudget.RetryWindow,
-		ColdRate: s.ColdRate,
+		ColdRate: s.ColdRate, LimitShare: a.limitShare(key),
 	}
 }
 
@@ -248,7 +250,7 @@
 			links: make(map[uint64]*messenger.Link), loads: make(map[pimento.Key]int), issued: make(map[uint64]issuedPermit),
 		}
 		a.pools[key] = p
-		a.updatePool(key, p)
+		a.updatePool(key, p) // nothing waits in it
 	}
 	return p
 }
@@ -365,7 +367,7 @@
 func (a *Admitter) tick() bool {
 	now := time.Now()
 	a.mu.Lock()
-	var callbacks []func()
+	changes, callbacks := a.applyLimits(now)
 	for _, p := range a.pools {
 		callbacks = append(callbacks, p.applyDecisions(p.machine.Tick(now))...)
 	}
@@ -373,7 +375,6 @@
 	for _, p := range a.pools {
 		waiting = waiting || p.machine.Waiting() > 0
 	}
-	changes := a.limits.Changes(now)
 	a.mu.Unlock()
 	runAll(callbacks)
 	a.reportLimits(changes)
--- a/admitter/dispatcher.go
+++ b/admitter/dispatcher.go
@@ -63,7 +63,9 @@
 		Kind: scheduler.ResultKind(d.Kind), Took: d.Took, ColdFor: d.ColdFor, HasLoad: d.Slots > 0,
 		Load: pimento.LoadReport{InFlight: d.InFlight, Waiting: d.Waiting, Slots: d.Slots, Slowness: d.Slowness},
 	}
-	a.releasePermit(poolKey{service: d.Service, index: d.Pool}, d.Ticket, r)
+	key := poolKey{service: d.Service, index: d.Pool}
+	a.observeReportedLimit(key, d.Ticket, r.Kind, pimento.LimitNotice{Named: d.Limited, Rate: d.Limit})
+	a.releasePermit(key, d.Ticket, r)
 }
 
 // HandleCanceled cancels a request of a peer that waits for a permit.
@@ -125,7 +127,7 @@
 	a.init()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	report := messenger.Report{CrashReports: a.quarantine.CrashReports()}
+	report := messenger.Report{CrashReports: a.quarantine.CrashReports(), Limits: a.limits.FreshReports(time.Now())}
 	for key, p := range a.pools {
 		s, _ := a.state.Service(key.service)
 		if s.Sharing != pimento.SharingKeyed {
--- a/admitter/limits.go
+++ b/admitter/limits.go
@@ -5,6 +5,7 @@
 
 	"pimentorelay.example/pimento"
 	"pimentorelay.example/pimento/limiter"
+	"pimentorelay.example/pimento/scheduler"
 )
 
 // observeLimit records what the answer to a request that was sent at sentAt says
@@ -14,14 +15,62 @@
 	if err != nil && !refused {
 		return
 	}
+	a.updateLimits(func(now time.Time) { a.limits.Observe(now, sentAt, name, m.Limit) })
+}
+
+// observeReportedLimit records what the answer to a request of a peer, which has
+// returned its permit, says about the limit of its upstream.
+func (a *Admitter) observeReportedLimit(key poolKey, ticket uint64, kind scheduler.ResultKind, n pimento.LimitNotice) {
+	if kind != scheduler.ResultAnswered && kind != scheduler.ResultFailed && !n.Named {
+		return
+	}
+	a.updateLimits(func(now time.Time) {
+		p, ok := a.pools[key]
+		if !ok {
+			return
+		}
+		if issued, ok := p.issued[ticket]; ok {
+			a.limits.Observe(now, issued.at, issued.upstream, n)
+		}
+	})
+}
+
+// MergeLimits adds what the leader knows of limits.
+func (a *Admitter) MergeLimits(list []limiter.Report) {
+	if len(list) == 0 {
+		return
+	}
+	a.init()
+	a.updateLimits(func(now time.Time) { a.limits.Merge(now, list) })
+}
+
+// updateLimits changes the known limits and puts the changes in force.
+func (a *Admitter) updateLimits(change func(now time.Time)) {
 	now := time.Now()
 	a.mu.Lock()
-	a.limits.Observe(now, sentAt, name, m.Limit)
-	changes := a.limits.Changes(now)
+	change(now)
+	changes, callbacks := a.applyLimits(now)
 	a.mu.Unlock()
+	runAll(callbacks)
 	a.reportLimits(changes)
 }
 
+// applyLimits passes the limits in force to the schedulers if they have changed. It
+// returns the changes, and the callbacks of the decisions that follow. The caller
+// holds mu, and runs the callbacks and reports the changes without it.
+func (a *Admitter) applyLimits(now time.Time) ([]limiter.Change, []func()) {
+	changes := a.limits.Changes(now)
+	if len(changes) == 0 {
+		return nil, nil
+	}
+	limits := a.limits.InForce(now)
+	var callbacks []func()
+	for _, p := range a.pools {
+		callbacks = append(callbacks, p.applyDecisions(p.machine.SetLimits(now, limits))...)
+	}
+	return changes, callbacks
+}
+
 // reportLimits passes changes of limits to OnLimit. The caller does not hold mu.
 func (a *Admitter) reportLimits(changes []limiter.Change) {
 	if a.OnLimit == nil {
@@ -32,9 +81,41 @@
 	}
 }
 
-// Limits returns the limits in force, as far as this process knows.
-func (a *Admitter) Limits() map[pimento.UpstreamName]pimento.RateLimit {
+// KnownLimits returns all that this process knows of limits.
+func (a *Admitter) KnownLimits() []limiter.Report {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.limits.InForce(time.Now())
+	return a.limits.Reports(time.Now())
+}
+
+// Parts of a limit that the processes other than the dispatcher may use, since
+// that may be active still: the first backup, each later one half of the part of
+// the one before, and all processes outside the preference list together.
+const (
+	firstBackupShare = 1.0 / 4
+	outsidersShare   = 1.0 / 8
+)
+
+// limitShare returns the part of the limit of an upstream that this process may
+// use. All parts together are at most one and a half. The caller holds mu.
+func (a *Admitter) limitShare(key poolKey) float64 {
+	rank := a.rank(key)
+	switch {
+	case rank == 0:
+		return 1
+	case rank < a.listLength(key):
+		return firstBackupShare / float64(int(1)<<(rank-1))
+	default:
+		return outsidersShare / float64(max(1, len(a.state.Processes)))
+	}
+}
+
+// listLength returns the length of a pool's preference list. The caller holds mu.
+func (a *Admitter) listLength(key poolKey) int {
+	for _, p := range a.state.Pools {
+		if p.Service == key.service && p.Index == key.index {
+			return len(p.PreferenceList)
+		}
+	}
+	return 0
 }
--- a/leader/heartbeat.go
+++ b/leader/heartbeat.go
@@ -138,6 +138,7 @@
 		}
 		t.capacities[s.Upstream] = s.Capacity
 	}
+	t.limits.Merge(now, r.Limits)
 	for _, p := range r.CrashReports {
 		if t.quarantine.CountCrash(now, p) {
 			t.blocked = slices.DeleteFunc(t.blocked, func(p quarantiner.Fingerprint) bool { return !t.quarantine.Blocked(now, p) })
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -31,6 +31,7 @@
 	"pimentorelay.example/pimento"
 	"pimentorelay.example/pimento/elector"
 	"pimentorelay.example/pimento/keeper"
+	"pimentorelay.example/pimento/limiter"
 	"pimentorelay.example/pimento/messenger"
 	"pimentorelay.example/pimento/quarantiner"
 	"pimentorelay.example/pimento/recorder"
@@ -140,6 +141,7 @@
 	quarantine   *quarantiner.Machine
 	blocked      []quarantiner.Fingerprint        // requests that all processes refuse
 	capacities   map[pimento.UpstreamName]float64 // requests per second
+	limits       limiter.Book
 	versions     messenger.Versions
 	owners       []messenger.Owner
 	roster       *messenger.Roster
--- a/leader/plan.go
+++ b/leader/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -30,6 +31,12 @@
 	confirmerTimeout = 2 * time.Second
 	// coldCapacityShare is the part of a cold upstream's ColdRate that plans use.
 	coldCapacityShare = 0.5
+	// minLimitedCapacity is the least capacity, in requests a second, that plans
+	// assume of an upstream that names a limit.
+	minLimitedCapacity = 0.1
+	// limitDoubling is the time in which the assumed capacity doubles while no answer
+	// names the limit again. It begins at half of the limit.
+	limitDoubling = 10 * time.Second
 	// defaultSlotCapacity is the requests per second of a slot before the first
 	// measurement.
 	defaultSlotCapacity = 8
@@ -242,12 +249,22 @@
 	if !ok {
 		c = defaultSlotCapacity * float64(u.Slots)
 	}
+	if limit, limited := l.term.limits.Rate(now, u.Name); limited {
+		c = min(c, limitedCapacity(limit, l.term.limits.Age(now, u.Name)))
+	}
 	if now.Before(u.WarmAt) && s.ColdRate > 0 {
 		return min(c, s.ColdRate*coldCapacityShare)
 	}
 	return c
 }
 
+// limitedCapacity returns the capacity of an upstream that last named a limit some
+// time ago. It doubles with every limitDoubling: an upstream that has lost all keys
+// with load would never say that its limit has ended.
+func limitedCapacity(limit pimento.RateLimit, ago time.Duration) float64 {
+	return max(float64(limit), minLimitedCapacity) * math.Exp2(ago.Seconds()/limitDoubling.Seconds()-1)
+}
+
 // applyMove assigns a range to another holder, under a new fence for each holding
 // that overlaps it.
 func (l *Leader) applyMove(in keeper.Input, a *pimento.Assignment, table *pimento.Table, m partitioner.Move) {
--- a/leader/push.go
+++ b/leader/push.go
@@ -61,6 +61,7 @@
 	t.versions.Upstreams = t.upstreams.version
 	t.versions.Manifest = l.Member.Versions().Manifest
 	l.updateRoster()
+	l.updateLimits(timekeeper.Now())
 	if state := l.missingState(l.Self.ID, l.Member.Versions(), t.selfSnapshot); state != nil {
 		l.Member.Apply(state)
 		t.selfSnapshot = l.snapshot(state, t.selfSnapshot)
@@ -112,6 +113,15 @@
 	t.versions.Roster++
 }
 
+// updateLimits raises the version of the limits if one has begun, changed or ended.
+func (l *Leader) updateLimits(now time.Time) {
+	t := l.term
+	if len(t.limits.Changes(now)) > 0 {
+		t.versions.Limits++
+	}
+	t.limits.Retain(now, func(name pimento.UpstreamName) bool { _, known := t.upstreams.known[name]; return known })
+}
+
 // mayDispatch reports whether a process may have to dispatch requests with keys: it
 // is in the preference list of a pool with keys, or the first keyed service has
 // several pools.
@@ -156,6 +166,9 @@
 	if have.Blocked < t.versions.Blocked {
 		out.Blocked, found = t.blocked, true
 	}
+	if have.Limits < t.versions.Limits {
+		out.Limits, found = t.limits.Reports(timekeeper.Now()), true
+	}
 	if have.Manifest < t.versions.Manifest {
 		_, out.Manifest = l.Member.Manifest()
 		found = true
--- a/limiter/book.go
+++ b/limiter/book.go
@@ -164,6 +164,15 @@
 	return l.rate(now)
 }
 
+// Age returns the time since a limit was last named; zero if none is known.
+func (b *Book) Age(now time.Time, name pimento.UpstreamName) time.Duration {
+	l, known := b.limits[name]
+	if !known {
+		return 0
+	}
+	return now.Sub(l.namedAt())
+}
+
 // InForce returns the limits in force.
 func (b *Book) InForce(now time.Time) map[pimento.UpstreamName]pimento.RateLimit {
 	out := make(map[pimento.UpstreamName]pimento.RateLimit, len(b.limits))
--- a/messenger/state.go
+++ b/messenger/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/limiter"
 	"pimentorelay.example/pimento/quarantiner"
 )
 
@@ -24,6 +25,7 @@
 	Owners    uint64
 	Manifest  uint64
 	Blocked   uint64
+	Limits    uint64
 }
 
 // HeartbeatReply is the reply of a member.
@@ -40,7 +42,8 @@
 type Report struct {
 	Loads        []KeyLoad
 	Capacities   []UpstreamCapacity        `json:"Speeds"`
-	CrashReports []quarantiner.Fingerprint `json:"Strikes"` // suspects, once for each crash
+	CrashReports []quarantiner.Fingerprint `json:"Strikes"`    // suspects, once for each crash
+	Limits       []limiter.Report          `cbor:",omitempty"` // what answers have said about limits of upstreams
 }
 
 // KeyLoad is the number of requests for a key.
@@ -73,6 +76,7 @@
 	Owners    *OwnerList
 	Manifest  []byte // as stored
 	Blocked   []quarantiner.Fingerprint
+	Limits    []limiter.Report `cbor:",omitempty"` // all that the leader knows
 }
 
 // Roster lists the processes, and the pools with their dispatchers.
@@ -165,4 +169,6 @@
 	Slots    int                 `cbor:"8,keyasint,omitempty"` // zero: no report
 	Slowness float64             `cbor:"9,keyasint,omitempty"`
 	ColdFor  time.Duration       `cbor:"10,keyasint,omitempty"`
+	Limited  bool                `cbor:"11,keyasint,omitempty"` // the answer named Limit
+	Limit    pimento.RateLimit   `cbor:"12,keyasint,omitempty"`
 }
--- a/router/follower.go
+++ b/router/follower.go
@@ -30,7 +30,8 @@
 type follower struct {
 	router *Router
 
-	view atomic.Pointer[forwarder.View]
+	view       atomic.Pointer[forwarder.View]
+	reportedTo atomic.Uint64 // epoch of the leader that got the last report
 
 	mu              sync.Mutex
 	snapshots       uint64 // taken so far
@@ -57,7 +58,11 @@
 
 // Report implements leader.Member.
 func (f *follower) Report() messenger.Report {
-	return f.router.admitter.Report()
+	report := f.router.admitter.Report()
+	if epoch := f.router.leader.Term().Epoch; f.reportedTo.Swap(epoch) != epoch {
+		report.Limits = f.router.admitter.KnownLimits() // a new leader knows none
+	}
+	return report
 }
 
 // Apply implements leader.Member. A state may arrive late, over a connection that
@@ -86,9 +91,11 @@
 		f.versions.Owners = s.Versions.Owners
 	}
 	f.versions.Blocked = max(f.versions.Blocked, s.Versions.Blocked)
+	f.versions.Limits = max(f.versions.Limits, s.Versions.Limits)
 	snapshot := f.snapshot()
 	f.mu.Unlock()
 	f.router.admitter.Block(s.Blocked)
+	f.router.admitter.MergeLimits(s.Limits)
 	if s.Manifest != nil {
 		f.adoptManifest(s.Manifest, manifestOrigin{From: string(f.router.leader.Term().Leader)})
 	}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -35,7 +35,8 @@
 
 // canAccept reports whether an upstream can take one more request now.
 func (p *Pool) canAccept(now time.Time, u *upstream) bool {
-	return u.Usable && len(u.running) < p.concurrencyLimit(now, u) && u.health.allows(now, len(u.running)) && p.coldAllows(now, u)
+	return u.Usable && len(u.running) < p.concurrencyLimit(now, u) && u.health.allows(now, len(u.running)) &&
+		p.coldAllows(now, u) && u.pacer.Allows(now)
 }
 
 // cost returns the expected duration of a request at an upstream, raised by the
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -14,6 +14,8 @@
 //     Among the upstreams with a free slot, the one with the least expected cost,
 //     from measured times, load reports and the age of running requests.
 //   - Cold upstreams (cold.go): requests are spaced to what they can handle.
+//   - Limits (limit.go): an upstream in need gets what it takes, the rest goes to
+//     others or is refused at once.
 //   - Retrying (budget.go): failures everywhere. Retries are a bounded share of
 //     the requests.
 //
@@ -30,6 +32,7 @@
 	"time"
 
 	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/limiter"
 )
 
 // Config is the configuration of a pool.
@@ -44,6 +47,8 @@
 	RetryWindow time.Duration
 	// ColdRate is how many requests a second a cold upstream can handle.
 	ColdRate float64
+	// LimitShare is the part of the limit of an upstream that this process may use.
+	LimitShare float64
 }
 
 // Ticket is a request that asks for a permit.
@@ -99,6 +104,7 @@
 	longTermSlowness slowness
 	health           health
 	cold             cold
+	pacer            limiter.Pacer
 	hostSlowness     hostSlowness
 	onTime           rate // requests for its keys that meet their goal
 }
@@ -157,6 +163,9 @@
 			continue
 		}
 		x := &upstream{Upstream: u, running: make(map[uint64]*activeRequest)}
+		if ok {
+			x.pacer = old.pacer // what was sent before its restart counts
+		}
 		x.cold.until = u.WarmAt
 		p.upstreams[u.Name] = x
 	}
@@ -248,6 +257,7 @@
 	p.running[t.ID] = r
 	u.running[t.ID] = r
 	u.cold.recordSend(now)
+	u.pacer.Sent(now)
 }
 
 func (p *Pool) finish(now time.Time, r *activeRequest, result Result) {
--- a/scheduler/slowness.go
+++ b/scheduler/slowness.go
@@ -29,6 +29,7 @@
 	// HasLoad means that the answer carried a load report.
 	HasLoad bool
 	ColdFor time.Duration // as reported by the upstream; zero: not reported
+	Limit   pimento.LimitNotice
 }
 
 const (
--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -101,7 +101,7 @@
 	slots, used := 0, 0
 	for _, u := range p.upstreams {
 		if u.Usable {
-			slots += p.concurrencyLimit(now, u)
+			slots += p.slotsWithinLimit(now, u)
 			used += len(u.running)
 		}
 	}
@@ -121,11 +121,19 @@
 func (p *Pool) expire(now time.Time) []Decision {
 	var out []Decision
 	contended := len(p.waiting) > 1
+	ahead := make(map[*upstream]int) // waiting requests of limited upstreams
 	p.waiting = slices.DeleteFunc(p.waiting, func(t *Ticket) bool {
 		if p.config.Keyed && p.isForeign(t.Key) {
 			out = append(out, Decision{Ticket: t.ID, Refusal: p.refuse(0, foreignDetail)})
 			return true
 		}
+		if u, _ := p.ownerUpstream(t.Key); p.config.Keyed && u != nil && u.pacer.Limited() {
+			if p.exceedsLimit(now, t, u, ahead[u]+1) {
+				out = append(out, Decision{Ticket: t.ID, Refusal: p.refuseBeyondLimit(now, u, ahead[u]+1)})
+				return true
+			}
+			ahead[u]++
+		}
 		margin := answerMargin
 		if contended {
 			margin = max(margin, scale(p.meanServiceTime(t.Route), contendedShare))
@@ -207,11 +215,13 @@
 func (p *Pool) estimateWait(now time.Time, t *Ticket) (time.Duration, *contention, bool) {
 	c := &contention{onTime: &p.onTime}
 	free := false
+	next := time.Duration(math.MaxInt64) // until the first upstream takes one more
 	for _, u := range p.upstreams {
 		if !u.Usable || u.health.breaks > 1 && now.Before(u.health.pausedUntil) {
 			continue
 		}
 		free = free || p.canAccept(now, u)
+		next = min(next, u.pacer.Wait(now, 1))
 		c.throughput += p.throughput(now, t, u)
 		c.longTermThroughput += p.longTermThroughput(t, u)
 	}
@@ -230,21 +240,21 @@
 	if free && ahead == 1 {
 		return 0, c, true
 	}
-	return time.Duration(float64(ahead) / c.throughput * float64(time.Second)), c, true
+	return max(next, time.Duration(float64(ahead)/c.throughput*float64(time.Second))), c, true
 }
 
 // throughput returns how many requests a second an upstream can complete now.
 func (p *Pool) throughput(now time.Time, t *Ticket, u *upstream) float64 {
 	if now.Before(u.cold.until) {
-		return max(p.config.ColdRate, 1)
+		return withinLimit(u, max(p.config.ColdRate, 1))
 	}
-	return float64(u.Slots) / max(p.expectedDuration(now, t, u).Seconds(), 0.001)
+	return withinLimit(u, float64(u.Slots)/max(p.expectedDuration(now, t, u).Seconds(), 0.001))
 }
 
 // longTermThroughput returns how many requests a second an upstream can complete
 // over a longer time, in which slowdowns by its neighbours average out.
 func (p *Pool) longTermThroughput(t *Ticket, u *upstream) float64 {
-	return float64(u.Slots) / max(p.meanServiceTime(t.Route).Seconds()*u.longTermSlowness.value(), 0.001)
+	return withinLimit(u, float64(u.Slots)/max(p.meanServiceTime(t.Route).Seconds()*u.longTermSlowness.value(), 0.001))
 }
 
 // checkKeyedAdmission is checkAdmission for a request that only the owner of its
@@ -277,14 +287,18 @@
 			ahead++
 		}
 	}
-	wait := time.Duration(float64(ahead) / c.throughput * float64(time.Second))
+	wait := max(time.Duration(float64(ahead)/c.throughput*float64(time.Second)), u.pacer.Wait(now, ahead))
 	if p.canAccept(now, u) && ahead == 1 {
 		wait = 0
 		if len(u.running) == 0 && now.Add(p.meanServiceTime(t.Route)).Before(t.Deadline) {
 			return nil // only its answers can correct the estimate
 		}
 	}
-	return p.checkWait(now, t, wait, p.expectedDuration(now, t, u), c)
+	out := p.checkWait(now, t, wait, p.expectedDuration(now, t, u), c)
+	if out != nil && u.pacer.Limited() {
+		return p.refuseBeyondLimit(now, u, ahead+c.late)
+	}
+	return out
 }
 
 // rate is an exponentially weighted rate of requests.
