--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -161,7 +161,7 @@
 		return "", false
 	}
 	for _, step := range steps {
-		attempts := step.Fields["Tries"] + " " + step.Fields["By"]
+		attempts := step.Fields["Tries"] + " " + step.Fields["By"] + " " + step.Fields["Detail"]
 		involved := x.Process == step.Process || containsName(attempts, string(x.Process))
 		switch subject {
 		case "upstream", "grant", "release", "limit":
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -67,3 +67,20 @@
 	is.Equal(len(r.KnownState), 1)
 	is.Equal(r.KnownState[0].Fields["Upstream"], "u12")
 }
+
+// TestLimitBehindRefusal guards against a request that was refused because of the limit
+// of an upstream, and a report without that limit.
+func TestLimitBehindRefusal(t *testing.T) {
+	is := is.New(t)
+	const text = `
+{"@timestamp":"2026-02-02T18:00:09.000000Z","Event":5006,"Process":"b","Upstream":"u1","Rate":2.9}
+{"@timestamp":"2026-02-02T18:00:09.100000Z","Event":5006,"Process":"b","Upstream":"u2","Rate":4}
+{"@timestamp":"2026-02-02T18:00:10.000000Z","Event":6002,"Process":"a","Request":"x1","By":"b","Detail":"the holder of the key, u1, takes 2.9 requests a second","Reason":"Overloaded"}
+`
+	var l Log
+	is.NoErr(l.Read(strings.NewReader(text)))
+	r, ok := l.Explain("x1")
+	is.True(ok)
+	is.Equal(len(r.KnownState), 1)
+	is.Equal(r.KnownState[0].Fields["Rate"], "2.9")
+}
--- a/leader/cluster_test.go
+++ b/leader/cluster_test.go
@@ -15,6 +15,7 @@
 	"pimentorelay.example/pimento"
 	"pimentorelay.example/pimento/elector"
 	"pimentorelay.example/pimento/keeper"
+	"pimentorelay.example/pimento/limiter"
 	"pimentorelay.example/pimento/messenger"
 	"pimentorelay.example/pimento/recorder"
 )
@@ -36,10 +37,11 @@
 	storeDown      bool
 	storeCalls     int
 	strongHosts    []pimento.HostName
-	noLoad         bool    // so that no keys move for balance
-	lostAnswerRate float64 // share of the writes that take effect without an answer
-	lateWriteRate  float64 // share of the writes that take effect late, without an answer
-	lateGrantRate  float64 // share of the grants that take effect late, without an answer
+	noLoad         bool                                  // so that no keys move for balance
+	limitReports   map[pimento.HostName][]limiter.Report // for the next report of a host
+	lostAnswerRate float64                               // share of the writes that take effect without an answer
+	lateWriteRate  float64                               // share of the writes that take effect late, without an answer
+	lateGrantRate  float64                               // share of the grants that take effect late, without an answer
 	cutLinks       map[[2]string]bool
 	fences         map[pimento.Key]map[pimento.UpstreamName]uint64
 	violations     []string // of exclusive ownership and the order of fences
@@ -57,6 +59,7 @@
 	mu             sync.Mutex
 	versions       messenger.Versions
 	upstreamStates map[pimento.UpstreamName]pimento.State // as received from the leader
+	limits         limiter.Book                           // as received from the leader
 }
 
 // upstream is a simulated upstream with its grants.
@@ -445,6 +448,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.versions = s.Versions
+	p.limits.Merge(time.Now(), s.Limits)
 	if s.Upstreams == nil {
 		return
 	}
@@ -497,7 +501,7 @@
 	base := int(time.Since(p.cluster.started)/(4*time.Second)) * 9001
 	var out []messenger.KeyLoad
 	if p.cluster.hasNoLoad() {
-		return messenger.Report{}
+		return messenger.Report{Limits: p.cluster.takeLimitReports(p.self.Host)}
 	}
 	for i := range 8 {
 		out = append(out, messenger.KeyLoad{Service: simService, Key: pimento.Key((base + i*7) % 65536), Count: 2})
@@ -505,6 +509,31 @@
 	return messenger.Report{Loads: out}
 }
 
+// takeLimitReports returns what a host reports of limits, once.
+func (cl *cluster) takeLimitReports(host pimento.HostName) []limiter.Report {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	list := cl.limitReports[host]
+	delete(cl.limitReports, host)
+	return list
+}
+
+// hostsWithoutLimit returns the hosts whose processes do not know a limit.
+func (cl *cluster) hostsWithoutLimit(name pimento.UpstreamName, limit pimento.RateLimit) []pimento.HostName {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	var out []pimento.HostName
+	for _, p := range cl.processes {
+		p.mu.Lock()
+		rate, limited := p.limits.Rate(time.Now(), name)
+		p.mu.Unlock()
+		if !limited || rate != limit {
+			out = append(out, p.self.Host)
+		}
+	}
+	return out
+}
+
 // Grant implements Grantor.
 func (p *process) Grant(ctx context.Context, to pimento.Server, g pimento.KeyGrant) error {
 	ctx, cancel := context.WithTimeout(ctx, 600*time.Millisecond)
--- a/leader/simulation_test.go
+++ b/leader/simulation_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/limiter"
 	"pimentorelay.example/pimento/timekeeper"
 )
 
@@ -368,6 +369,45 @@
 	}
 }
 
+// TestLimitReachesMembers guards against a limit that only the process knows that got
+// the answer: all others must know it half a second later.
+func TestLimitReachesMembers(t *testing.T) {
+	for seed := range uint64(12) {
+		runCluster(t, seed+1, true, func(cl *cluster) {
+			host := cl.hosts[seed%simProcesses]
+			cl.mu.Lock()
+			cl.limitReports = map[pimento.HostName][]limiter.Report{host: {{Upstream: "u0", Rate: 2.9}}}
+			cl.mu.Unlock()
+			time.Sleep(500 * time.Millisecond)
+			for _, h := range cl.hostsWithoutLimit("u0", 2.9) {
+				t.Errorf("seed %d: %s does not know the limit that %s was told", seed+1, h, host)
+			}
+		})
+	}
+}
+
+// TestLimitedCapacity guards against plans that give a limited upstream what it
+// cannot take, and against one that never gets a request again, whose answer would
+// say that its limit has ended.
+func TestLimitedCapacity(t *testing.T) {
+	for _, c := range []struct {
+		limit pimento.RateLimit
+		ago   time.Duration
+		least float64
+		most  float64
+	}{
+		{3, 0, 1.4, 3},
+		{3, 10 * time.Second, 1.4, 3},
+		{3, time.Minute, 30, 100},
+		{0, 0, 0.01, 1},
+		{0, 2 * time.Minute, 3, 1000},
+	} {
+		if got := limitedCapacity(c.limit, c.ago); got < c.least || got > c.most {
+			t.Errorf("limit %g, named %s ago: capacity %g, want %g to %g", c.limit, c.ago, got, c.least, c.most)
+		}
+	}
+}
+
 // TestStrongHostsLead checks that a process on a strong host leads if one can: at
 // the start, after the leader is lost or cannot reach the store, and after all
 // processes were lost at once.
--- a/relayctl/status.go
+++ b/relayctl/status.go
@@ -145,6 +145,8 @@
 		return "NotSeen"
 	case !u.Usable:
 		return "NoNewWork"
+	case u.Limited:
+		return fmt.Sprintf("Limited:%.3g/s", u.Limit)
 	case u.Cold:
 		return "Cold"
 	default:
--- a/scheduler/limit.go
+++ b/scheduler/limit.go
@@ -46,7 +46,7 @@
 // refuseBeyondLimit returns the refusal of a request for a key whose holder is
 // limited, n requests being served before and including this one.
 func (p *Pool) refuseBeyondLimit(now time.Time, u *upstream, n int) *pimento.OutcomeError {
-	return p.refuse(u.pacer.Book(now, n), fmt.Sprintf("the holder of the key takes %.3g requests a second", u.pacer.Rate()))
+	return p.refuse(u.pacer.Book(now, n), fmt.Sprintf("the holder of the key, %s, takes %.3g requests a second", u.Name, u.pacer.Rate()))
 }
 
 // exceedsLimit reports whether a request for a key of a limited upstream cannot be
--- a/status.go
+++ b/status.go
@@ -11,6 +11,8 @@
 	Running     int     // requests
 	Slots       int
 	Capacity    float64 `json:"Bears"` // in requests per second
+	Limited     bool    // it names a limit
+	Limit       float64 // that it names, or this process's part of it, in requests per second
 }
 
 // Status is the state of one process and what it knows of others, for operators.
