--- a/relayctl/status.go
+++ b/relayctl/status.go
@@ -145,7 +145,7 @@
 		return "NotSeen"
 	case !u.Usable:
 		return "NoNewWork"
-	case u.Limited:
+	case u.Limit > 0:
 		return fmt.Sprintf("Limited:%.3g/s", u.Limit)
 	case u.Cold:
 		return "Cold"
--- a/scheduler/slowness.go
+++ b/scheduler/slowness.go
@@ -205,7 +205,7 @@
 		out = append(out, pimento.UpstreamReport{
 			Upstream: u.Name, Service: u.Service, Usable: u.Usable, Cold: now.Before(u.cold.until),
 			Slowness: u.slowness.value(), FailureRate: u.health.failures, Running: len(u.running), Slots: u.Slots,
-			Capacity: p.throughput(now, &Ticket{}, u), Limited: u.pacer.Limited(), Limit: u.pacer.Rate(),
+			Capacity: p.throughput(now, &Ticket{}, u), Limit: u.pacer.Rate(),
 		})
 	}
 	return out
--- a/status.go
+++ b/status.go
@@ -10,9 +10,8 @@
 	FailureRate float64 `json:"Failing"` // share of recent requests that failed
 	Running     int     // requests
 	Slots       int
-	Capacity    float64 `json:"Bears"` // in requests per second
-	Limited     bool    // it names a limit
-	Limit       float64 // that it names, or this process's part of it, in requests per second
+	Capacity    float64 `json:"Bears"`      // in requests per second
+	Limit       float64 `json:",omitempty"` // that it names, or this process's part of it, in requests per second; zero: none
 }
 
 // Status is the state of one process and what it knows of others, for operators.
