Carry the era of the store with its revisions, and log a new one

What callers saw: two upstreams with the same keys after the store came back from a copy. What was lacking: revisions were bare numbers, so neither code nor logs could tell a copy from a change, and no line said that the store had been restored. Change: pimento.Revision is an era and a number; the client of the store reads the header Store-Era of each answer; event 2020, metric relay_store_era, 'relayctl explain'. relayctl apply tells an operator if the store was restored between its read and its write. The store's stand-in has eras, a restore from a copy of any age, lapsed entries and 410 for revisions that it does not have. Decisions are as before, but that a revision of a later era counts as later, which the fix will not rely on.

--- a/assembler/deployment.go
+++ b/assembler/deployment.go
@@ -213,7 +213,7 @@
 		e.Revision = exists.Current.Revision
 		saved, err = client.Replace(ctx, e)
 	}
-	return saved.Revision, err
+	return saved.Revision.Number, err
 }
 
 // AwaitReady waits until the given version or a later one is in force in every
--- a/event.go
+++ b/event.go
@@ -30,6 +30,7 @@
 	EventManifestMissing EventNumber = 2017
 	EventStateNotTaken   EventNumber = 2018
 	EventManifestUsed    EventNumber = 2019
+	EventStoreRestored   EventNumber = 2020
 	EventUpstreamLost    EventNumber = 5001
 	EventUpstreamBack    EventNumber = 5002
 	EventRecordsLost     EventNumber = 5004
@@ -71,6 +72,7 @@
 	EventManifestMissing: "members lack the manifest",
 	EventStateNotTaken:   "a member has not confirmed a state",
 	EventManifestUsed:    "first request under a manifest",
+	EventStoreRestored:   "platform was restored from a copy",
 	EventUpstreamLost:    "upstream lost",
 	EventUpstreamBack:    "upstream answers again",
 	EventRecordsLost:     "request records may be lost",
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -145,7 +145,7 @@
 // known state.
 var stateSubjects = map[pimento.EventNumber]string{
 	pimento.EventManifestAdopted: "manifest",
-	pimento.EventStoreLost:       "platform", pimento.EventStoreRecovered: "platform",
+	pimento.EventStoreLost:       "platform", pimento.EventStoreRecovered: "platform", pimento.EventStoreRestored: "era",
 	pimento.EventLeading: "leader", pimento.EventLeadingEnded: "leader", pimento.EventTermAdopted: "term",
 	pimento.EventUpstreamLost: "upstream", pimento.EventUpstreamBack: "upstream", pimento.EventGrantFailed: "grant",
 	pimento.EventLimitNamed: "limit", pimento.EventLimitEnded: "limit", pimento.EventLimitInvalid: "limit",
@@ -173,7 +173,7 @@
 			if movesKey(x.Fields["Moves"], step.Fields["Service"], step.Fields["Key"]) {
 				return subject, true
 			}
-		case "leader":
+		case "leader", "era":
 			return subject, true
 		default:
 			if involved {
--- a/fault.go
+++ b/fault.go
@@ -75,7 +75,10 @@
 }
 
 // NotFoundError says that an object does not exist.
-type NotFoundError struct{ Object string }
+type NotFoundError struct {
+	Object string
+	Era    uint64 // of the store
+}
 
 // Error names the object.
 func (e *NotFoundError) Error() string { return fmt.Sprintf("object %q does not exist", e.Object) }
@@ -85,7 +88,7 @@
 
 // Error names the entry.
 func (e *ExistsError) Error() string {
-	return fmt.Sprintf("entry %q of kind %q exists at revision %d", e.Current.Name, e.Current.Kind, e.Current.Revision)
+	return fmt.Sprintf("entry %q of kind %q exists at revision %s", e.Current.Name, e.Current.Kind, e.Current.Revision)
 }
 
 // FencedError says that an upstream refused a grant because it has seen a
@@ -111,11 +114,11 @@
 }
 
 // HistoryGoneError says that a watch cannot continue from its revision.
-type HistoryGoneError struct{ After uint64 }
+type HistoryGoneError struct{ After Revision }
 
 // Error names the revision.
 func (e *HistoryGoneError) Error() string {
-	return fmt.Sprintf("the store no longer has all changes after revision %d", e.After)
+	return fmt.Sprintf("the store no longer has all changes after revision %s", e.After)
 }
 
 // UnreachableError says that no usable answer arrived. The call may have taken
--- a/leader/campaign.go
+++ b/leader/campaign.go
@@ -46,7 +46,7 @@
 // of the same host with a higher revision means that the process has ended.
 type registeredProcess struct {
 	process  pimento.Process
-	revision uint64
+	revision pimento.Revision
 }
 
 // listProcesses reads the registered processes from the store.
@@ -71,7 +71,7 @@
 // storedAssignment is an assignment as read from the store.
 type storedAssignment struct {
 	assignment *pimento.Assignment // nil: there is none
-	revision   uint64
+	revision   pimento.Revision
 }
 
 // readAssignment reads the assignment from the store.
@@ -146,7 +146,7 @@
 
 // adoptAssignment adopts an assignment from the store if it is newer.
 func (l *Leader) adoptAssignment(now time.Time, s storedAssignment) {
-	if s.assignment == nil || s.revision <= l.revision {
+	if s.assignment == nil || !s.revision.After(l.revision) {
 		return
 	}
 	l.assignment, l.revision = s.assignment, s.revision
@@ -320,13 +320,13 @@
 // writeAssignment writes an assignment conditionally on a revision and retries
 // until the store answers. A write without an answer may take effect later, so
 // it is retried unchanged: the condition lets only one of the two succeed.
-func (l *Leader) writeAssignment(ctx context.Context, next pimento.Assignment, baseRevision uint64, done func(storedAssignment, bool)) {
+func (l *Leader) writeAssignment(ctx context.Context, next pimento.Assignment, base pimento.Revision, done func(storedAssignment, bool)) {
 	next.WriteID = string(l.Self.ID) + "-" + strconv.FormatUint(rand.Uint64(), 36)
 	value, err := json.Marshal(next)
 	if err != nil {
 		panic(err) // all fields can be encoded
 	}
-	e := pimento.Entry{Kind: KindAssignment, Name: AssignmentName, Revision: baseRevision, Value: value}
+	e := pimento.Entry{Kind: KindAssignment, Name: AssignmentName, Revision: base, Value: value}
 	go func() {
 		for attempts := 0; ctx.Err() == nil; attempts++ {
 			sentAt := timekeeper.Now()
@@ -341,7 +341,7 @@
 				return
 			}
 			if attempts == 0 {
-				l.Events.Emit(pimento.EventWriteUncertain, "Epoch", next.Term.Epoch, "Revision", baseRevision, "Cause", err)
+				l.Events.Emit(pimento.EventWriteUncertain, "Epoch", next.Term.Epoch, "Revision", base, "Cause", err)
 			}
 			sleep(ctx, writeRetryInterval)
 		}
@@ -353,7 +353,7 @@
 func (l *Leader) attemptWrite(ctx context.Context, e pimento.Entry, id string) (storedAssignment, bool, error) {
 	var saved pimento.Entry
 	var err error
-	if e.Revision == 0 {
+	if e.Revision.IsZero() {
 		saved, err = l.Store.Create(ctx, e)
 	} else {
 		saved, err = l.Store.Replace(ctx, e)
--- a/leader/cluster_test.go
+++ b/leader/cluster_test.go
@@ -33,7 +33,7 @@
 	upstreams      map[pimento.UpstreamName]*upstream
 	store          map[string]pimento.Entry
 	staleStore     map[string]pimento.Entry // what stale reads show; nil: the present
-	revision       uint64
+	revision       pimento.Revision
 	storeDown      bool
 	storeCalls     int
 	strongHosts    []pimento.HostName
@@ -319,13 +319,13 @@
 }
 
 // Watch implements pimento.Store.
-func (p *process) Watch(context.Context, pimento.StoreKind, uint64, time.Duration) (pimento.Changes, error) {
+func (p *process) Watch(context.Context, pimento.StoreKind, pimento.Revision, time.Duration) (pimento.Changes, error) {
 	panic("not used here")
 }
 
 // Create implements pimento.Store.
 func (p *process) Create(ctx context.Context, e pimento.Entry) (pimento.Entry, error) {
-	return p.conditionalWrite(ctx, e, 0)
+	return p.conditionalWrite(ctx, e, pimento.Revision{})
 }
 
 // Replace implements pimento.Store.
@@ -333,20 +333,20 @@
 	return p.conditionalWrite(ctx, e, e.Revision)
 }
 
-func (p *process) conditionalWrite(ctx context.Context, e pimento.Entry, baseRevision uint64) (pimento.Entry, error) {
+func (p *process) conditionalWrite(ctx context.Context, e pimento.Entry, base pimento.Revision) (pimento.Entry, error) {
 	var out pimento.Entry
 	err := p.storeWrite(ctx, func() error {
 		p.cluster.mu.Lock()
 		defer p.cluster.mu.Unlock()
 		key := string(e.Kind) + "/" + e.Name
 		old, exists := p.cluster.store[key]
-		if exists && baseRevision == 0 {
+		if exists && base.IsZero() {
 			return &pimento.ExistsError{Current: old}
 		}
-		if old.Revision != baseRevision {
-			return &pimento.ConflictError{Object: key, BaseVersion: baseRevision, Current: old.Revision, Entry: old}
+		if old.Revision.Number != base.Number {
+			return &pimento.ConflictError{Object: key, BaseVersion: base.Number, Current: old.Revision.Number, Entry: old}
 		}
-		p.cluster.revision++
+		p.cluster.revision.Number++
 		out = e
 		out.Revision = p.cluster.revision
 		p.cluster.store[key] = out
@@ -377,12 +377,12 @@
 }
 
 // DomainsOut implements pimento.Source.
-func (p *process) DomainsOut(ctx context.Context, after uint64, wait time.Duration) ([]pimento.DomainName, bool, uint64, error) {
-	if after > 0 {
+func (p *process) DomainsOut(ctx context.Context, after pimento.Revision, wait time.Duration) ([]pimento.DomainName, bool, pimento.Revision, error) {
+	if !after.IsZero() {
 		sleep(ctx, wait)
 	}
 	err := p.storeCall(ctx, func() error { return nil })
-	return nil, after == 0, 1, err
+	return nil, after.IsZero(), pimento.Revision{Number: 1}, err
 }
 
 // Call implements Peers.
@@ -433,8 +433,8 @@
 func (p *process) Forget(pimento.ProcessID) {}
 
 // Manifest implements pimento.Source. The manifest never changes here.
-func (p *process) Manifest(context.Context, uint64, time.Duration) ([]byte, uint64, error) {
-	return nil, 1, nil
+func (p *process) Manifest(context.Context, pimento.Revision, time.Duration) ([]byte, pimento.Revision, error) {
+	return nil, pimento.Revision{Number: 1}, nil
 }
 
 // DecodeManifest implements pimento.Source.
--- a/leader/heartbeat.go
+++ b/leader/heartbeat.go
@@ -241,7 +241,7 @@
 // joined process is kept until an entry of higher revision is read.
 func (l *Leader) mergeProcesses(list []registeredProcess) {
 	for _, p := range list {
-		if p.revision > l.registered[p.process.Host].revision {
+		if p.revision.After(l.registered[p.process.Host].revision) {
 			l.registered[p.process.Host] = p
 		}
 	}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -123,7 +123,7 @@
 	leaderlessSince     time.Time                              // since when this process may campaign
 	registered          map[pimento.HostName]registeredProcess // as last read from the store or received in a Join
 	assignment          *pimento.Assignment                    // latest known from the store
-	revision            uint64                                 // of the assignment
+	revision            pimento.Revision                       // of the assignment
 	joinAt              time.Time                              // when to send the next Join
 	confirmersChangedAt time.Time
 	balancedAt          time.Time // when the plan last considered balance
--- a/leader/members_test.go
+++ b/leader/members_test.go
@@ -18,14 +18,14 @@
 	is := is.New(t)
 	l := &Leader{Self: proc("a", "a-1"), registered: make(map[pimento.HostName]registeredProcess)}
 	l.assignment = &pimento.Assignment{Members: []pimento.Member{{Process: proc("b", "b-1")}, {Process: proc("b", "b-2")}}}
-	stale := []registeredProcess{{process: proc("b", "b-1"), revision: 7}}
+	stale := []registeredProcess{{process: proc("b", "b-1"), revision: pimento.Revision{Number: 7}}}
 	l.mergeProcesses(stale)
 	is.True(l.ended("b-2"))
 	l.registered["b"] = registeredProcess{process: proc("b", "b-2"), revision: l.registered["b"].revision} // b-2 joins
 	l.mergeProcesses(stale)
 	is.True(!l.ended("b-2"))
 	is.True(l.ended("b-1"))
-	l.mergeProcesses([]registeredProcess{{process: proc("b", "b-3"), revision: 9}})
+	l.mergeProcesses([]registeredProcess{{process: proc("b", "b-3"), revision: pimento.Revision{Number: 9}}})
 	is.True(l.ended("b-2"))
 }
 
@@ -35,7 +35,7 @@
 func TestMembersNameAllConfirmers(t *testing.T) {
 	is := is.New(t)
 	l := &Leader{Self: proc("a", "a-1"), registered: map[pimento.HostName]registeredProcess{
-		"b": {process: proc("b", "b-1"), revision: 7},
+		"b": {process: proc("b", "b-1"), revision: pimento.Revision{Number: 7}},
 	}}
 	l.term = &term{members: map[pimento.ProcessID]*member{"c-2": {process: proc("c", "c-2")}, "d-1": {process: proc("d", "d-1")}}}
 	l.assignment = &pimento.Assignment{
--- a/leader/plan.go
+++ b/leader/plan.go
@@ -83,7 +83,7 @@
 }
 
 // logMoves logs the moves of a plan that was written.
-func (l *Leader) logMoves(revision uint64, moves []string) {
+func (l *Leader) logMoves(revision pimento.Revision, moves []string) {
 	if len(moves) == 0 {
 		return
 	}
--- a/leader/registry.go
+++ b/leader/registry.go
@@ -223,12 +223,12 @@
 // watchOutDomains watches the failure domains that are out of service. After an
 // error it reads them from the start.
 func (l *Leader) watchOutDomains(t *term) {
-	var after uint64
+	var after pimento.Revision
 	backoff := timekeeper.Backoff{Initial: minListBackoff, Max: maxOutBackoff}
 	for t.ctx.Err() == nil {
 		out, changed, revision, err := l.Source.DomainsOut(t.ctx, after, outWatchTimeout)
 		if err != nil {
-			after = 0
+			after = pimento.Revision{}
 			sleep(t.ctx, backoff.Pause())
 			continue
 		}
--- a/relay/run.go
+++ b/relay/run.go
@@ -104,7 +104,7 @@
 		Operator: parseAddress(v, "--operator", o.Operator), Bounds: pimento.DefaultBounds(), RequireKey: true,
 		CallerWire: translator.Wire{}, UpstreamWire: translator.Wire{},
 	}
-	store := &platform.Store{HTTP: platform.NewHTTPClient(), OnResult: r.ObserveStoreCall, Address: parseAddress(v, "--platform", o.Platform)}
+	store := &platform.Store{HTTP: platform.NewHTTPClient(), OnResult: r.ObserveStoreCall, OnEra: r.ObserveStoreEra, Address: parseAddress(v, "--platform", o.Platform)}
 	r.Store, r.Source = store, &surveyor.Surveyor{Store: store}
 	r.Log = hclog.New(&hclog.LoggerOptions{Name: "relay", Level: parseLevel(v, o.LogLevel), JSONFormat: o.LogJSON, Output: o.logOutput})
 	return r, v.Err()
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -100,7 +100,7 @@
 		Ready: s.Ready, ReadyPath: platform.ReadyPath, Operator: operator,
 		CallerWire: platform.Wire{}, UpstreamWire: platform.Wire{}, Bounds: s.Bounds, Log: log,
 	}
-	store := &platform.Store{Address: s.Store, HTTP: platform.NewHTTPClient(), OnResult: r.ObserveStoreCall}
+	store := &platform.Store{Address: s.Store, HTTP: platform.NewHTTPClient(), OnResult: r.ObserveStoreCall, OnEra: r.ObserveStoreEra}
 	r.Store, r.Source = store, &platform.Registry{Store: store, OnInvalidEntry: r.ReportInvalidEntry}
 	return r, v.Err()
 }
--- a/relayctl/apply.go
+++ b/relayctl/apply.go
@@ -72,16 +72,16 @@
 
 func (c *client) apply(cmd *cobra.Command, config pimento.Config, based int64, deadline time.Time) error {
 	ctx := cmd.Context()
-	old, version, err := c.currentConfig(ctx)
+	old, current, err := c.currentConfig(ctx)
 	if err != nil {
 		return err
 	}
-	if based >= 0 && uint64(based) != version {
+	if based >= 0 && uint64(based) != current.Number {
 		return c.reportConflict(ctx, config, uint64(based))
 	}
-	r := applyResult{Changes: parser.Diff(old, config), Version: version}
-	if len(r.Changes) > 0 || version == 0 {
-		if r.Version, err = c.writeConfig(ctx, config, version); err != nil {
+	r := applyResult{Changes: parser.Diff(old, config), Version: current.Number}
+	if len(r.Changes) > 0 || current.IsZero() {
+		if r.Version, err = c.writeConfig(ctx, config, current); err != nil {
 			return err
 		}
 	}
@@ -95,16 +95,16 @@
 	return waitErr
 }
 
-// writeConfig replaces version based of the configuration, zero if there is
-// none yet, and returns the new version.
-func (c *client) writeConfig(ctx context.Context, config pimento.Config, based uint64) (uint64, error) {
+// writeConfig replaces revision based of the configuration, zero if there is none
+// yet, and returns the new version.
+func (c *client) writeConfig(ctx context.Context, config pimento.Config, based pimento.Revision) (uint64, error) {
 	value, err := json.Marshal(config)
 	if err != nil {
 		return 0, err
 	}
 	e := pimento.Entry{Kind: surveyor.KindConfig, Name: surveyor.ConfigName, Revision: based, Value: value}
 	save := c.store.Replace
-	if based == 0 {
+	if based.IsZero() {
 		save = c.store.Create
 	}
 	saved, err := save(ctx, e)
@@ -113,20 +113,25 @@
 	var unreachable *pimento.UnreachableError
 	switch {
 	case errors.As(err, &conflict), errors.As(err, &exists):
-		return 0, c.reportConflict(ctx, config, based)
+		return 0, c.reportConflict(ctx, config, based.Number)
 	case errors.As(err, &unreachable) && !unreachable.Unsent:
-		return c.readBack(ctx, value, based, err)
+		return c.readBack(ctx, value, based.Number, err)
+	case err == nil && saved.Revision.Era != based.Era && !based.IsZero():
+		return 0, &uncertainError{cause: fmt.Errorf("the store was restored from a copy after version %d was read: %w", based.Number, errRestored)}
 	}
-	return saved.Revision, err
+	return saved.Revision.Number, err
 }
 
+// errRestored is the cause if another version may have been replaced than the one read.
+var errRestored = errors.New("another version may have been replaced; check it and apply the sheet again")
+
 // readBack finds out whether a write without an answer took effect.
 func (c *client) readBack(ctx context.Context, value []byte, based uint64, cause error) (uint64, error) {
 	for range readBackAttempts {
 		time.Sleep(readBackInterval)
 		e, err := c.store.Get(ctx, surveyor.KindConfig, surveyor.ConfigName)
 		if err == nil && sameJSON(e.Value, value) {
-			return e.Revision, nil
+			return e.Revision.Number, nil
 		}
 	}
 	return 0, &uncertainError{cause: fmt.Errorf("unknown whether the sheet, based on version %d, was accepted: %w", based, cause)}
@@ -135,15 +140,15 @@
 // reportConflict prints what the sheet would change in the current
 // configuration, and returns the conflict.
 func (c *client) reportConflict(ctx context.Context, config pimento.Config, based uint64) error {
-	current, version, err := c.currentConfig(ctx)
+	current, revision, err := c.currentConfig(ctx)
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(c.out, "the configuration is now version %d; the sheet would change:\n", version)
+	fmt.Fprintf(c.out, "the configuration is now version %d; the sheet would change:\n", revision.Number)
 	for _, change := range parser.Diff(current, config) {
 		fmt.Fprintln(c.out, change)
 	}
-	return &pimento.ConflictError{Object: string(surveyor.KindConfig), BaseVersion: based, Current: version}
+	return &pimento.ConflictError{Object: string(surveyor.KindConfig), BaseVersion: based, Current: revision.Number}
 }
 
 // sameJSON reports whether two JSON documents have the same content; the store
--- a/relayctl/client.go
+++ b/relayctl/client.go
@@ -67,20 +67,20 @@
 	return e.Encode(value)
 }
 
-// currentConfig returns the accepted configuration and its version, zero if
-// there is none yet.
-func (c *client) currentConfig(ctx context.Context) (pimento.Config, uint64, error) {
+// currentConfig returns the accepted configuration and its revision, whose number is
+// its version; zero if there is none yet.
+func (c *client) currentConfig(ctx context.Context) (pimento.Config, pimento.Revision, error) {
 	e, err := c.store.Get(ctx, surveyor.KindConfig, surveyor.ConfigName)
 	var notFound *pimento.NotFoundError
 	if errors.As(err, &notFound) {
-		return pimento.Config{}, 0, nil
+		return pimento.Config{}, pimento.Revision{}, nil
 	}
 	if err != nil {
-		return pimento.Config{}, 0, err
+		return pimento.Config{}, pimento.Revision{}, err
 	}
 	var config pimento.Config
 	if err := json.Unmarshal(e.Value, &config); err != nil {
-		return pimento.Config{}, 0, fmt.Errorf("decode the accepted configuration: %w", err)
+		return pimento.Config{}, pimento.Revision{}, fmt.Errorf("decode the accepted configuration: %w", err)
 	}
 	return config, e.Revision, nil
 }
--- a/relayctl/diff.go
+++ b/relayctl/diff.go
@@ -35,11 +35,11 @@
 			if err != nil {
 				return err
 			}
-			old, version, err := c.currentConfig(cmd.Context())
+			old, revision, err := c.currentConfig(cmd.Context())
 			if err != nil {
 				return err
 			}
-			d := diffResult{Based: version, Changes: parser.Diff(old, config)}
+			d := diffResult{Based: revision.Number, Changes: parser.Diff(old, config)}
 			return c.printResult(d, func(w io.Writer) {
 				for _, change := range d.Changes {
 					fmt.Fprintln(w, change)
--- a/relayctl/status.go
+++ b/relayctl/status.go
@@ -55,7 +55,7 @@
 			if err != nil {
 				return err
 			}
-			config, version, err := c.currentConfig(ctx)
+			config, revision, err := c.currentConfig(ctx)
 			if err != nil {
 				return err
 			}
@@ -65,7 +65,7 @@
 			}
 			statuses, errs := fetchFromAll[pimento.Status](ctx, c, processes, "/status")
 			o := newOverview(&a, &config, statuses, errs)
-			o.ConfigVersion = version
+			o.ConfigVersion = revision.Number
 			return c.printResult(o, o.write)
 		},
 	}
--- a/router/follower.go
+++ b/router/follower.go
@@ -280,7 +280,7 @@
 	if err != nil {
 		return err
 	}
-	out, _, _, err := f.router.Source.DomainsOut(ctx, 0, 0)
+	out, _, _, err := f.router.Source.DomainsOut(ctx, pimento.Revision{}, 0)
 	if err != nil {
 		return err
 	}
--- a/router/follower_test.go
+++ b/router/follower_test.go
@@ -23,11 +23,11 @@
 var errNoManifest = errors.New("no manifest")
 
 func (fakeSource) Upstreams(context.Context) ([]pimento.Server, error) { return nil, nil }
-func (fakeSource) DomainsOut(context.Context, uint64, time.Duration) ([]pimento.DomainName, bool, uint64, error) {
-	return nil, true, 1, nil
+func (fakeSource) DomainsOut(context.Context, pimento.Revision, time.Duration) ([]pimento.DomainName, bool, pimento.Revision, error) {
+	return nil, true, pimento.Revision{Number: 1}, nil
 }
-func (fakeSource) Manifest(context.Context, uint64, time.Duration) ([]byte, uint64, error) {
-	return nil, 1, nil
+func (fakeSource) Manifest(context.Context, pimento.Revision, time.Duration) ([]byte, pimento.Revision, error) {
+	return nil, pimento.Revision{Number: 1}, nil
 }
 func (fakeSource) DecodeManifest(value []byte) (pimento.Manifest, error) {
 	version, err := strconv.ParseUint(string(value), 10, 64)
--- a/router/manifest.go
+++ b/router/manifest.go
@@ -60,12 +60,12 @@
 // it there, and so does a process without a leader that reaches the store. Any other
 // process reads it once the leader announces a version that has not arrived.
 func (f *follower) watchManifest(ctx context.Context) error {
-	var revision uint64
+	var revision pimento.Revision
 	failures := 0
 	backoff := timekeeper.Backoff{Initial: minStoreRetry, Max: maxStoreRetry}
 	for ctx.Err() == nil {
 		if f.mayWaitForLeader() {
-			revision = 0
+			revision = pimento.Revision{}
 			f.awaitAnnouncement(ctx)
 			continue
 		}
@@ -122,19 +122,19 @@
 // awaitManifest waits for a manifest after a revision and adopts it. It returns
 // the revision to continue from, zero after an error: the next call then reads the
 // manifest without waiting.
-func (f *follower) awaitManifest(ctx context.Context, after uint64) (uint64, error) {
+func (f *follower) awaitManifest(ctx context.Context, after pimento.Revision) (pimento.Revision, error) {
 	wait := orphanWatchTimeout
 	if f.router.leader.IsLeader() {
 		wait = leaderWatchTimeout
 	}
-	if after > 0 {
+	if !after.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, wait+watchMargin)
 		defer cancel()
 	}
 	value, revision, err := f.router.Source.Manifest(ctx, after, wait)
 	if err != nil {
-		return 0, err
+		return pimento.Revision{}, err
 	}
 	f.router.leader.StoreAnswered()
 	if value != nil {
@@ -148,8 +148,8 @@
 
 // manifestOrigin says from where a process has a manifest.
 type manifestOrigin struct {
-	From     string // originStore, or the leader that sent it
-	Revision uint64 // of the store when it was read there, else zero
+	From     string           // originStore, or the leader that sent it
+	Revision pimento.Revision // of the store when it was read there, else zero
 }
 
 // announcement is the latest version of the manifest that the leader has told of.
--- a/router/manifest_test.go
+++ b/router/manifest_test.go
@@ -63,14 +63,14 @@
 }
 
 // Manifest implements pimento.Source.
-func (s *manifestStore) Manifest(ctx context.Context, after uint64, wait time.Duration) ([]byte, uint64, error) {
+func (s *manifestStore) Manifest(ctx context.Context, after pimento.Revision, wait time.Duration) ([]byte, pimento.Revision, error) {
 	s.mu.Lock()
 	s.reads++
 	fault := s.fault
 	s.mu.Unlock()
 	if fault != nil {
-		if err := fault(ctx, s, after > 0); err != nil {
-			return nil, 0, err
+		if err := fault(ctx, s, !after.IsZero()); err != nil {
+			return nil, pimento.Revision{}, err
 		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
@@ -79,8 +79,8 @@
 		s.mu.Lock()
 		version, changed := s.version, s.changed
 		s.mu.Unlock()
-		if version > after {
-			return []byte(strconv.FormatUint(version, 10)), version, nil
+		if version > after.Number {
+			return []byte(strconv.FormatUint(version, 10)), pimento.Revision{Number: version}, nil
 		}
 		select {
 		case <-changed:
@@ -91,11 +91,11 @@
 }
 
 // DomainsOut implements pimento.Source. None is out.
-func (s *manifestStore) DomainsOut(ctx context.Context, after uint64, wait time.Duration) ([]pimento.DomainName, bool, uint64, error) {
-	if after > 0 {
+func (s *manifestStore) DomainsOut(ctx context.Context, after pimento.Revision, wait time.Duration) ([]pimento.DomainName, bool, pimento.Revision, error) {
+	if !after.IsZero() {
 		sleep(ctx, wait)
 	}
-	return nil, after == 0, 1, nil
+	return nil, after.IsZero(), pimento.Revision{Number: 1}, nil
 }
 
 // silence lets a call wait for its timeout.
@@ -107,7 +107,7 @@
 // memoryStore is a pimento.Store without faults.
 type memoryStore struct {
 	mu       sync.Mutex
-	revision uint64
+	revision pimento.Revision
 	entries  map[string]pimento.Entry
 }
 
@@ -125,7 +125,7 @@
 	return pimento.Listing{}, nil
 }
 
-func (s *memoryStore) Watch(_ context.Context, _ pimento.StoreKind, after uint64, _ time.Duration) (pimento.Changes, error) {
+func (s *memoryStore) Watch(_ context.Context, _ pimento.StoreKind, after pimento.Revision, _ time.Duration) (pimento.Changes, error) {
 	return pimento.Changes{Revision: after}, nil
 }
 
@@ -139,7 +139,7 @@
 	if s.entries == nil {
 		s.entries = make(map[string]pimento.Entry)
 	}
-	s.revision++
+	s.revision.Number++
 	e.Revision = s.revision
 	s.entries[string(e.Kind)+"/"+e.Name] = e
 	return e, nil
--- a/router/operators.go
+++ b/router/operators.go
@@ -34,6 +34,7 @@
 		"relay_leads":              func() float64 { return gaugeValue(r.leader.IsLeader()) },
 		"relay_led":                func() float64 { return gaugeValue(r.leader.HasLeader()) },
 		"relay_store_reached":      func() float64 { return gaugeValue(r.leader.StoreReachable()) },
+		"relay_store_era":          func() float64 { return float64(r.storeEra.Load()) },
 		"relay_epoch":              func() float64 { return float64(r.leader.Term().Epoch) },
 		"relay_manifest_version":   func() float64 { return float64(r.follower.Versions().Manifest) },
 		"relay_manifest_announced": func() float64 { return float64(r.follower.announcedVersion()) },
--- a/router/router.go
+++ b/router/router.go
@@ -74,6 +74,7 @@
 	observer    *observer
 	storeHealth storeHealth
 	entryFaults entryFaults
+	storeEra    atomic.Uint64                  // zero: none is known
 	bounds      atomic.Pointer[pimento.Bounds] // in force
 	acceptor    *acceptor.Acceptor
 	admitter    *admitter.Admitter
--- a/router/store_health.go
+++ b/router/store_health.go
@@ -47,6 +47,17 @@
 	}
 }
 
+// ObserveStoreEra records the era of the store, which rises when it was restored from a
+// copy. The first one that a process sees is none of its own time.
+func (r *Router) ObserveStoreEra(era uint64) {
+	if r.observer == nil {
+		return
+	}
+	if known := r.storeEra.Swap(era); known > 0 {
+		r.events.Emit(pimento.EventStoreRestored, "Era", era, "Former", known)
+	}
+}
+
 // ReportInvalidEntry logs why an entry of the store was skipped, unless the last
 // error of that entry was the same.
 func (r *Router) ReportInvalidEntry(name string, err error) {
--- a/store.go
+++ b/store.go
@@ -8,19 +8,19 @@
 // StoreKind groups the entries of the platform's store.
 type StoreKind string
 
-// Entry is one object of the platform's store. Revisions come from one counter
-// of the whole store and only grow; zero means that the entry does not exist.
+// Entry is one object of the platform's store. Revisions come from one counter of the
+// whole store and only grow within an era; zero means that the entry does not exist.
 type Entry struct {
 	Kind     StoreKind
 	Name     string
-	Revision uint64
+	Revision Revision
 	Value    []byte // JSON
 }
 
 // Listing is all entries of a kind as of a revision of the store.
 type Listing struct {
 	Entries  []Entry
-	Revision uint64
+	Revision Revision
 }
 
 // Change is an entry that was written or removed.
@@ -35,7 +35,7 @@
 // behind them.
 type Changes struct {
 	Changes  []Change
-	Revision uint64
+	Revision Revision
 }
 
 // Freshness says how stale the answer to a read may be.
@@ -58,12 +58,14 @@
 	// List returns all entries of a kind.
 	List(ctx context.Context, kind StoreKind, fresh Freshness) (Listing, error)
 	// Watch returns the changes since a revision as soon as there are any, or
-	// none after wait. After *HistoryGoneError the caller must List again.
-	Watch(ctx context.Context, kind StoreKind, after uint64, wait time.Duration) (Changes, error)
+	// none after wait. After *HistoryGoneError, also if the store was restored since
+	// the revision, the caller must List again.
+	Watch(ctx context.Context, kind StoreKind, after Revision, wait time.Duration) (Changes, error)
 	// Create creates an entry, or returns *ExistsError.
 	Create(ctx context.Context, e Entry) (Entry, error)
 	// Replace writes an entry if its revision is e.Revision, or returns
-	// *ConflictError or *NotFoundError.
+	// *ConflictError or *NotFoundError. If the store was restored meanwhile, the entry
+	// with that number may be another one; the era of the result tells.
 	Replace(ctx context.Context, e Entry) (Entry, error)
 	// Delete removes an entry if its revision is e.Revision, or returns
 	// *ConflictError or *NotFoundError.
--- a/storefaker/server.go
+++ b/storefaker/server.go
@@ -10,7 +10,7 @@
 //	s.Inject(storefaker.Faults{Outage: storefaker.OutageSilent})
 //
 // Faults can also be injected over HTTP, by a PUT of [Faults] as JSON to
-// [FaultsPath].
+// [FaultsPath], and the store be restored by one of a [Copy] to [RestorePath].
 package storefaker
 
 import (
@@ -31,6 +31,10 @@
 	objectsPath = "/pimentorelay/objects/"
 	// FaultsPath accepts the faults to inject.
 	FaultsPath = "/stand-in/faults"
+	// RestorePath restores the store from a copy; the body is a Copy.
+	RestorePath = "/stand-in/restore"
+	// headerEra is the era of the store, in all answers.
+	headerEra = "Store-Era"
 	// defaultPageSize is the maximum number of items on a page.
 	defaultPageSize = 500
 	// maxBodyBytes limits how much of a request's body is read.
@@ -101,6 +105,7 @@
 
 	mu                sync.Mutex
 	faults            Faults
+	era               uint64 // rises by one with each restore
 	revision          uint64
 	objects           map[string]map[string]Object
 	history           []event
@@ -112,7 +117,7 @@
 
 // New returns an empty store.
 func New() *Server {
-	return &Server{PageSize: defaultPageSize, revision: 1, objects: make(map[string]map[string]Object), changed: make(chan struct{}), calls: make(map[string]int)}
+	return &Server{PageSize: defaultPageSize, era: 1, revision: 1, objects: make(map[string]map[string]Object), changed: make(chan struct{}), calls: make(map[string]int)}
 }
 
 // Inject replaces the faults.
@@ -131,6 +136,60 @@
 	s.notifyWatches()
 }
 
+// Copy is a copy of the store from which it is restored.
+type Copy struct {
+	// Age is how old the copy is. What was written since is lost, and revisions are
+	// given out again from those of the copy on.
+	Age pimento.Span
+	// Lapsed are entries of the copy, by kind and name, that have lapsed meanwhile.
+	Lapsed map[string][]string
+}
+
+// Restore replaces the content by a copy and begins a new era. History before the last
+// call of Compact is not part of the copy.
+func (s *Server) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := time.Now().Add(-time.Duration(c.Age))
+	kept := s.history[:0:0]
+	for _, e := range s.history {
+		if !e.at.After(at) {
+			kept = append(kept, e)
+		}
+	}
+	s.revision = s.compactedRevision
+	s.history = kept
+	s.objects = make(map[string]map[string]Object)
+	for _, e := range kept {
+		s.revision = e.revision
+		if s.objects[e.kind] == nil {
+			s.objects[e.kind] = make(map[string]Object)
+		}
+		if e.deleted {
+			delete(s.objects[e.kind], e.object.Meta.Name)
+		} else {
+			s.objects[e.kind][e.object.Meta.Name] = e.object
+		}
+	}
+	s.revision = max(s.revision, 1)
+	for kind, names := range c.Lapsed {
+		for _, name := range names {
+			if o, ok := s.objects[kind][name]; ok {
+				s.remove(kind, o)
+			}
+		}
+	}
+	s.era++
+	s.notifyWatches()
+}
+
+// Era returns the era of the store.
+func (s *Server) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // Calls returns the number of calls so far, by method and kind.
 func (s *Server) Calls() map[string]int {
 	s.mu.Lock()
@@ -212,6 +271,10 @@
 		s.handleFaults(w, r)
 		return
 	}
+	if r.URL.Path == RestorePath && r.Method == http.MethodPut {
+		s.handleRestore(w, r)
+		return
+	}
 	path, ok := strings.CutPrefix(r.URL.Path, objectsPath)
 	if !ok {
 		http.NotFound(w, r)
@@ -232,6 +295,7 @@
 	}
 	s.calls[label]++
 	s.mu.Unlock()
+	w = &eraWriter{ResponseWriter: w, server: s}
 	if !s.applyOutage(w, r, f) {
 		return
 	}
@@ -269,6 +333,18 @@
 	return false
 }
 
+// eraWriter adds the era of the store to an answer.
+type eraWriter struct {
+	http.ResponseWriter
+	server *Server
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *eraWriter) WriteHeader(status int) {
+	w.Header().Set(headerEra, strconv.FormatUint(w.server.Era(), 10))
+	w.ResponseWriter.WriteHeader(status)
+}
+
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -348,7 +424,7 @@
 	for {
 		s.mu.Lock()
 		events, revision, changed := s.eventsSince(kind, after), s.revision, s.changed
-		expired, deaf := after < s.compactedRevision, s.faults.Deaf
+		expired, deaf := after < s.compactedRevision || after > s.revision, s.faults.Deaf
 		s.mu.Unlock()
 		if expired {
 			writeJSON(w, http.StatusGone, map[string]string{"error": "this history is gone"})
@@ -460,3 +536,16 @@
 	s.Inject(f)
 	w.WriteHeader(http.StatusNoContent)
 }
+
+// handleRestore restores the store from the copy in the request's body.
+func (s *Server) handleRestore(w http.ResponseWriter, r *http.Request) {
+	var c Copy
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(&c); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.Restore(c)
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/surveyor/surveyor.go
+++ b/surveyor/surveyor.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	v := &versionedConfig{Version: e.Revision}
+	v := &versionedConfig{Version: e.Revision.Number}
 	if err := json.Unmarshal(e.Value, &v.Config); err != nil {
 		return nil, err
 	}
@@ -153,14 +153,14 @@
 }
 
 // DomainsOut implements pimento.Source.
-func (s *Surveyor) DomainsOut(ctx context.Context, after uint64, wait time.Duration) ([]pimento.DomainName, bool, uint64, error) {
+func (s *Surveyor) DomainsOut(ctx context.Context, after pimento.Revision, wait time.Duration) ([]pimento.DomainName, bool, pimento.Revision, error) {
 	revision, changed, err := s.await(ctx, after, wait)
 	if err != nil || !changed {
 		return nil, false, revision, err
 	}
 	v, err := s.readConfig(ctx)
 	if err != nil {
-		return nil, false, 0, fmt.Errorf("Surveyor.DomainsOut: %w", err)
+		return nil, false, pimento.Revision{}, fmt.Errorf("Surveyor.DomainsOut: %w", err)
 	}
 	var out []pimento.DomainName
 	if v != nil {
@@ -175,28 +175,28 @@
 }
 
 // await waits until the configuration changes after a revision, and returns the
-// revision to continue from. It does not wait for revision zero, or if the history
+// revision to continue from. It does not wait without a revision, or if the history
 // since the revision is gone.
-func (s *Surveyor) await(ctx context.Context, after uint64, wait time.Duration) (uint64, bool, error) {
-	if after > 0 {
+func (s *Surveyor) await(ctx context.Context, after pimento.Revision, wait time.Duration) (pimento.Revision, bool, error) {
+	if !after.IsZero() {
 		changes, err := s.Store.Watch(ctx, KindConfig, after, wait)
 		var gone *pimento.HistoryGoneError
 		if err == nil {
 			return changes.Revision, len(changes.Changes) > 0, nil
 		}
 		if !errors.As(err, &gone) {
-			return 0, false, fmt.Errorf("Surveyor.await: %w", err)
+			return pimento.Revision{}, false, fmt.Errorf("Surveyor.await: %w", err)
 		}
 	}
 	list, err := s.Store.List(ctx, KindConfig, pimento.FreshnessLatest)
 	if err != nil {
-		return 0, false, fmt.Errorf("Surveyor.await: %w", err)
+		return pimento.Revision{}, false, fmt.Errorf("Surveyor.await: %w", err)
 	}
 	return list.Revision, true, nil
 }
 
 // Manifest implements pimento.Source.
-func (s *Surveyor) Manifest(ctx context.Context, after uint64, wait time.Duration) ([]byte, uint64, error) {
+func (s *Surveyor) Manifest(ctx context.Context, after pimento.Revision, wait time.Duration) ([]byte, pimento.Revision, error) {
 	revision, changed, err := s.await(ctx, after, wait)
 	if err != nil || !changed {
 		return nil, revision, err
