Reproduce the store that comes back from a copy

The simulation's store has eras and can be restored as it was some time ago; grants are also checked against every fence with which another upstream ever had the keys.

--- a/leader/cluster_test.go
+++ b/leader/cluster_test.go
@@ -34,6 +34,7 @@
 	store          map[string]pimento.Entry
 	staleStore     map[string]pimento.Entry // what stale reads show; nil: the present
 	revision       pimento.Revision
+	storeLog       []storeCopy // the store after each change of the last storeLogTime
 	storeDown      bool
 	storeCalls     int
 	strongHosts    []pimento.HostName
@@ -69,6 +70,7 @@
 	up     bool
 	grants []grant
 	fences []grant
+	taken  []grant // every grant accepted in any run, by range, with its fence
 }
 
 type grant struct {
@@ -83,7 +85,8 @@
 	cl := &cluster{
 		noLoad: noLoad, rng: rand.New(rand.NewPCG(seed, 1)), started: time.Now(), ctx: ctx,
 		processes: make(map[pimento.ProcessID]*process), upstreams: make(map[pimento.UpstreamName]*upstream),
-		store: make(map[string]pimento.Entry), cutLinks: make(map[[2]string]bool),
+		revision: pimento.Revision{Era: 1},
+		store:    make(map[string]pimento.Entry), cutLinks: make(map[[2]string]bool),
 		fences: make(map[pimento.Key]map[pimento.UpstreamName]uint64),
 	}
 	for i := range simUpstreams {
@@ -234,6 +237,51 @@
 	return ctx.Err() == nil
 }
 
+// storeCopy is the content of the store after a change.
+type storeCopy struct {
+	at       time.Time
+	entries  map[string]pimento.Entry
+	revision uint64
+}
+
+// storeLogTime is the age of the oldest copy from which the store can be restored.
+const storeLogTime = 30 * time.Second
+
+// save stores an entry under the next revision. The caller holds mu.
+func (cl *cluster) save(key string, e pimento.Entry) pimento.Entry {
+	cl.revision.Number++
+	e.Revision = cl.revision
+	cl.store[key] = e
+	now := time.Now()
+	cl.storeLog = slices.DeleteFunc(cl.storeLog, func(c storeCopy) bool { return now.Sub(c.at) > storeLogTime })
+	cl.storeLog = append(cl.storeLog, storeCopy{at: now, entries: maps.Clone(cl.store), revision: cl.revision.Number})
+	return e
+}
+
+// inPresentEra returns an entry as the store answers it: its answers name the present
+// era. The caller holds mu.
+func (cl *cluster) inPresentEra(e pimento.Entry) pimento.Entry {
+	e.Revision.Era = cl.revision.Era
+	return e
+}
+
+// restoreStore brings the store back as it was some time ago, in a new era.
+func (cl *cluster) restoreStore(age time.Duration) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	at := time.Now().Add(-age)
+	copied := storeCopy{entries: make(map[string]pimento.Entry)}
+	for _, c := range cl.storeLog {
+		if !c.at.After(at) {
+			copied = c
+		}
+	}
+	cl.storeLog = slices.DeleteFunc(cl.storeLog, func(c storeCopy) bool { return c.at.After(at) })
+	cl.store = maps.Clone(copied.entries)
+	cl.staleStore = nil
+	cl.revision = pimento.Revision{Era: cl.revision.Era + 1, Number: copied.revision}
+}
+
 // The store, as accessed by a process.
 
 const storeName = "store"
@@ -289,9 +337,9 @@
 		defer p.cluster.mu.Unlock()
 		e, ok := p.cluster.store[string(kind)+"/"+name]
 		if !ok {
-			return &pimento.NotFoundError{Object: name}
+			return &pimento.NotFoundError{Object: name, Era: p.cluster.revision.Era}
 		}
-		out = e
+		out = p.cluster.inPresentEra(e)
 		return nil
 	})
 	return out, err
@@ -309,7 +357,7 @@
 		}
 		for _, e := range store {
 			if e.Kind == kind {
-				out.Entries = append(out.Entries, e)
+				out.Entries = append(out.Entries, p.cluster.inPresentEra(e))
 			}
 		}
 		out.Revision = p.cluster.revision
@@ -340,16 +388,21 @@
 		defer p.cluster.mu.Unlock()
 		key := string(e.Kind) + "/" + e.Name
 		old, exists := p.cluster.store[key]
+		old = p.cluster.inPresentEra(old)
 		if exists && base.IsZero() {
 			return &pimento.ExistsError{Current: old}
 		}
+		if base.IsZero() {
+			out = p.cluster.save(key, e)
+			return nil
+		}
+		if !exists {
+			return &pimento.NotFoundError{Object: key, Era: p.cluster.revision.Era}
+		}
 		if old.Revision.Number != base.Number {
 			return &pimento.ConflictError{Object: key, BaseVersion: base.Number, Current: old.Revision.Number, Entry: old}
 		}
-		p.cluster.revision.Number++
-		out = e
-		out.Revision = p.cluster.revision
-		p.cluster.store[key] = out
+		out = p.cluster.save(key, e)
 		return nil
 	})
 	p.cluster.mu.Lock() // a late write may assign out now
@@ -576,6 +629,9 @@
 		return nil
 	}
 	cl.checkGrant(by, u, g)
+	u.taken = append(slices.DeleteFunc(u.taken, func(x grant) bool {
+		return g.Range.From <= x.From && x.To <= g.Range.To && x.fence <= g.Fence
+	}), grant{KeyRange: g.Range, fence: g.Fence})
 	u.recordFence(g.Range, g.Fence)
 	u.removeKeys(g.Range)
 	u.grants = append(u.grants, grant{KeyRange: g.Range, fence: g.Fence, until: until})
@@ -596,6 +652,12 @@
 					now.Sub(cl.started), by, u.server.Name, g.Range, g.Fence, name, x.KeyRange, x.fence, x.until.Sub(now)))
 			}
 		}
+		for _, x := range o.taken {
+			if x.Overlaps(g.Range) && x.fence >= g.Fence {
+				cl.violations = append(cl.violations, fmt.Sprintf("%v: leader %s granted upstream %s keys %s with fence %d, %s has had %s with fence %d",
+					now.Sub(cl.started), by, u.server.Name, g.Range, g.Fence, name, x.KeyRange, x.fence))
+			}
+		}
 		for _, x := range o.fences {
 			if x.Overlaps(g.Range) && x.fence > g.Fence && slices.ContainsFunc(o.grants, func(y grant) bool { return y.Overlaps(g.Range) && y.fence > g.Fence }) {
 				cl.violations = append(cl.violations, fmt.Sprintf("%v: leader %s granted upstream %s keys %s with fence %d, below fence %d of %s",
