Let no leader without authority write to a restored store

What callers would see: two upstreams with the same keys. Cause: a leader that was cut off, and replaced in a term that the restored store has lost, wrote its old assignment there and, having lost its quorum for 7 s, a new term that only it confirms. Class: as before, the store taken for the present. Change: a leader writes to a restored store only with authority; without it for 7 s it resigns (elector.Resign) and campaigns like any other.

--- a/elector/machine.go
+++ b/elector/machine.go
@@ -137,6 +137,14 @@
 	return true
 }
 
+// Resign ends the leadership of this process. It keeps the term, so that a later one
+// waits for its confirmers.
+func (m *Machine) Resign() {
+	if m.IsLeader() {
+		m.term.Leader = ""
+	}
+}
+
 // HandleHeartbeat handles a leader's heartbeat and reports whether this process
 // confirms it.
 func (m *Machine) HandleHeartbeat(now time.Time, heartbeat Heartbeat) bool {
--- a/leader/era.go
+++ b/leader/era.go
@@ -141,15 +141,27 @@
 	return value
 }
 
+// needsRepair reports whether the store holds no present assignment of this leader.
+func (l *Leader) needsRepair() bool {
+	return l.storeBehind || l.storeEra.Load() > l.assignment.WrittenIn()
+}
+
 // repairStore brings the decisions of this leader back into a store that was restored
 // from a copy or holds an older assignment for another reason. It reports whether that
-// is necessary.
+// is necessary. Without authority this process may have been replaced in a term that
+// the store has lost: then it waits, and at last resigns to campaign like any other.
 func (l *Leader) repairStore(now time.Time) bool {
 	t := l.term
 	era := l.storeEra.Load()
-	if !l.storeBehind && era <= l.assignment.WrittenIn() {
+	if !l.needsRepair() {
 		return false
 	}
+	if !l.HasAuthority() {
+		if now.Sub(t.lastAuthorityAt) > quorumLossTimeout {
+			l.elector.Resign()
+		}
+		return true
+	}
 	if !l.StoreReachable() || now.Before(t.repairAt) {
 		return true
 	}
