Let busy upstreams name the limits in the test of limits

Traced: on a slow machine the few orders all go to the cheapest upstreams, so partsdesk-1 got none after it was told to name a limit; no upstream got more than it takes. Change: the test lets the busiest upstream of each service name the limit, so that each of them surely does; bounds and checks are as they were.

--- a/assembler/limit_test.go
+++ b/assembler/limit_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -73,16 +74,16 @@
 			t.Parallel()
 			is := is.New(t)
 			d := startDeployment(t)
-			limited := []*upstreamfaker.Server{d.Upstreams["guidebook-1"], d.Upstreams["partsdesk-1"]}
-			if c.everywhere {
-				limited = slices.Collect(maps.Values(d.Upstreams))
-			}
 			var victims []pimento.ProcessID
 			if c.victims != nil {
 				victims = c.victims(storedAssignment(t, d))
 			}
 			s := startLimitedStream(d, c.callers(), victims)
 			time.Sleep(300 * time.Millisecond)
+			limited := []*upstreamfaker.Server{busiest(t, d, "guidebook"), busiest(t, d, "partsdesk")}
+			if c.everywhere {
+				limited = slices.Collect(maps.Values(d.Upstreams))
+			}
 			for _, u := range limited {
 				u.Inject(upstreamfaker.Faults{Limit: c.limit})
 			}
@@ -127,6 +128,28 @@
 	return s
 }
 
+// busiest returns the upstream of a service that has run the most requests: few requests
+// need not reach all of them.
+func busiest(t *testing.T, d *assembler.Deployment, service string) *upstreamfaker.Server {
+	t.Helper()
+	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		var best *upstreamfaker.Server
+		for name, u := range d.Upstreams {
+			if strings.HasPrefix(string(name), service) && (best == nil || u.Report().Runs > best.Report().Runs) {
+				best = u
+			}
+		}
+		if best.Report().Runs >= minRuns {
+			return best
+		}
+	}
+	t.Fatalf("no upstream of %s gets requests", service)
+	return nil
+}
+
+// minRuns is the number of requests that tell a busy upstream from the others.
+const minRuns = 10
+
 // limitEntries is the number of entry processes of startDeployment.
 const limitEntries = 5
 
