--- a/leader/restore_test.go
+++ b/leader/restore_test.go
@@ -10,7 +10,7 @@
 	"pimentorelay.example/pimento"
 )
 
-var restoreSeeds = flag.Uint64("sim.restores", 2, "number of seeds of each restore of the store")
+var restoreSeeds = flag.Uint64("sim.restores", 6, "number of seeds of each restore of the store")
 
 const (
 	// copyAge is how old the copy is from which the store is restored.
