Show that a call given up over a cut link arrives when the cut heals

Cause, not fixed: connector gives a call up by an orderly close. The kernel goes on sending its bytes, and they arrive after the cut has healed: grants, releases, requests, and calls of a process that has ended. Besides, a call whose deadline has passed before it begins is written over a kept connection all the same.

No change of what is decided.

--- a/connector/control.go
+++ b/connector/control.go
@@ -152,6 +152,7 @@
 	if err != nil {
 		return reply{}, &pimento.UnreachableError{Target: string(c.Server.Name), Cause: err, Unsent: true}
 	}
+	kept := !cn.expires.IsZero()
 	stop := context.AfterFunc(ctx, func() { cn.Close() })
 	r, reusable, err := c.roundTripControl(cn, method, path, body)
 	if err != nil || !stop() || !reusable {
@@ -159,6 +160,9 @@
 	} else {
 		c.putIdleConn(cn)
 	}
+	if err != nil && kept {
+		err = fmt.Errorf("kept connection: %w", err)
+	}
 	if err != nil {
 		return reply{}, &pimento.UnreachableError{Target: string(c.Server.Name), Cause: err}
 	}
--- /dev/null
+++ b/keeper/late_test.go
@@ -0,0 +1,68 @@
+package keeper
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pimentorelay.example/pimento"
+)
+
+// TestEarlierLeadersLastGrantIsUnderWay guards against two holders where the last
+// grant of an earlier leader, begun before its authority ended, takes as long as a
+// grant may.
+func TestEarlierLeadersLastGrantIsUnderWay(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation()
+	sim.settled = t0.Add(900 * time.Millisecond)
+	sim.adopt(moved(all, runA, runB, 2))
+	sim.addressUnknown = []pimento.Run{runA}
+	arrival := sim.settled.Add(sim.m.timing.AnswerTimeout)
+	mayHoldUntil := arrival.Add(sim.m.timing.Hold + sim.m.timing.Hold/50)
+	for ; sim.now.Before(mayHoldUntil); sim.advance(10 * time.Millisecond) {
+		if calls := sim.step(); len(calls) > 0 {
+			t.Fatalf("keys are granted to %s %v before a can no longer hold them", calls[0].Run.Upstream, mayHoldUntil.Sub(sim.now))
+		}
+	}
+	sim.advance(2 * sim.m.timing.Safety)
+	is.Equal(len(sim.step()), 1)
+}
+
+// TestTwoMovesAreAdoptedAtOnce guards against a holder that is forgotten where the
+// machine adopts a move and the next move of the same keys together.
+func TestTwoMovesAreAdoptedAtOnce(t *testing.T) {
+	runC := pimento.Run{Upstream: "c", Started: t0.Add(-time.Hour)}
+	is := is.New(t)
+	sim := newSimulation()
+	sim.adopt(held(all, runA, 1))
+	sim.acceptGrants(is)
+	mayHoldUntil := sim.now.Add(sim.m.timing.Hold + sim.m.timing.Hold/50)
+	sim.addressUnknown = []pimento.Run{runA, runB}
+	sim.adopt(moved(all, runB, runC, 3)) // fence 2 went from a to b
+	for ; sim.now.Before(mayHoldUntil); sim.advance(10 * time.Millisecond) {
+		if calls := sim.step(); len(calls) > 0 {
+			t.Fatalf("keys are granted to %s %v before a can no longer hold them", calls[0].Run.Upstream, mayHoldUntil.Sub(sim.now))
+		}
+	}
+}
+
+// TestOlderAssignmentJoinsHoldings guards against a holder that is forgotten where a
+// restored assignment shows as one holding what the machine knows as several.
+func TestOlderAssignmentJoinsHoldings(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation()
+	lower := pimento.KeyRange{From: 0, To: 32767}
+	sim.adopt(held(lower, runA, 1), held(upper, runB, 2))
+	sim.acceptGrants(is)
+	mayHoldUntil := sim.now.Add(sim.m.timing.Hold + sim.m.timing.Hold/50)
+	sim.m.Adopt(sim.now, &pimento.Assignment{Restored: true, Tables: []pimento.Table{{Service: service, Holdings: []pimento.Holding{held(all, runA, 1)}}}})
+	sim.addressUnknown = []pimento.Run{runB}
+	for ; sim.now.Before(mayHoldUntil); sim.advance(10 * time.Millisecond) {
+		for _, c := range sim.step() {
+			if c.Kind == CallGrant && c.Grant.Range.Overlaps(upper) {
+				t.Fatalf("keys %s are granted to %s %v before b can no longer hold them", c.Grant.Range, c.Run.Upstream, mayHoldUntil.Sub(sim.now))
+			}
+		}
+	}
+}
--- a/leader/cluster_test.go
+++ b/leader/cluster_test.go
@@ -44,6 +44,11 @@
 	lateWriteRate  float64                               // share of the writes that take effect late, without an answer
 	lateGrantRate  float64                               // share of the grants that take effect late, without an answer
 	cutLinks       map[[2]string]bool
+	healedAt       map[[2]string]time.Time // when a link was last healed
+	holdsUpCalls   bool                    // calls given up over a cut link arrive when it heals
+	closedConns    map[[2]string]bool      // no kept connection: the next call dials
+	stallRate      float64                 // share of the grants before which the process stalls
+	sendsLate      bool                    // a grant is sent after a stall although its deadline has passed
 	fences         map[pimento.Key]map[pimento.UpstreamName]uint64
 	violations     []string // of exclusive ownership and the order of fences
 	goroutines     sync.WaitGroup
@@ -88,6 +93,7 @@
 		processes: make(map[pimento.ProcessID]*process), upstreams: make(map[pimento.UpstreamName]*upstream),
 		revision: pimento.Revision{Era: 1},
 		store:    make(map[string]pimento.Entry), cutLinks: make(map[[2]string]bool),
+		healedAt: make(map[[2]string]time.Time), closedConns: make(map[[2]string]bool),
 		fences: make(map[pimento.Key]map[pimento.UpstreamName]uint64),
 	}
 	for i := range simUpstreams {
@@ -188,8 +194,11 @@
 func (cl *cluster) clearFaults() {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
+	for link := range cl.cutLinks {
+		cl.healedAt[link] = time.Now()
+	}
 	clear(cl.cutLinks)
-	cl.storeDown, cl.lostAnswerRate, cl.lateWriteRate, cl.lateGrantRate = false, 0, 0, 0
+	cl.storeDown, cl.lostAnswerRate, cl.lateWriteRate, cl.lateGrantRate, cl.stallRate = false, 0, 0, 0, 0
 }
 
 func (cl *cluster) stopLoad() {
@@ -613,7 +622,10 @@
 	ctx, cancel := context.WithTimeout(ctx, 600*time.Millisecond)
 	defer cancel()
 	unreachable := &pimento.UnreachableError{Target: string(to.Name), Cause: errNoAnswer}
-	if !p.cluster.deliver(ctx, string(p.self.Host), string(to.Name)) {
+	if p.cluster.happens(&p.cluster.stallRate) && !p.cluster.stall(&ctx) {
+		return &pimento.UnreachableError{Target: string(to.Name), Cause: ctx.Err(), Unsent: true}
+	}
+	if !p.cluster.deliverCall(ctx, string(p.self.Host), string(to.Name), func() { p.cluster.applyGrant(p.self.ID, to, g, time.Now()) }) {
 		return unreachable
 	}
 	arrivedAt := time.Now()
@@ -723,18 +735,12 @@
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	unreachable := &pimento.UnreachableError{Target: string(from.Name), Cause: errNoAnswer}
-	if !p.cluster.deliver(ctx, string(p.self.Host), string(from.Name)) {
+	if !p.cluster.deliverCall(ctx, string(p.self.Host), string(from.Name), func() { p.cluster.applyRelease(from, r, fence) }) {
 		return "", unreachable
 	}
-	p.cluster.mu.Lock()
-	u := p.cluster.upstreams[from.Name]
-	if !u.up || !u.server.Started.Equal(from.Started) {
-		p.cluster.mu.Unlock()
+	if !p.cluster.applyRelease(from, r, fence) {
 		return "", &pimento.UnreachableError{Target: string(from.Name), Cause: errNoAnswer, Unsent: true}
 	}
-	u.recordFence(r, fence)
-	u.removeKeys(r)
-	p.cluster.mu.Unlock()
 	sleep(ctx, p.cluster.randomDuration(10*time.Millisecond, 400*time.Millisecond)) // running requests end
 	if !p.cluster.deliver(ctx, string(from.Name), string(p.self.Host)) {
 		return "", unreachable
@@ -742,6 +748,19 @@
 	return "handover", nil
 }
 
+// applyRelease applies a release at an upstream and reports whether it has arrived.
+func (cl *cluster) applyRelease(from pimento.Server, r pimento.KeyRange, fence uint64) bool {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	u := cl.upstreams[from.Name]
+	if !u.up || !u.server.Started.Equal(from.Started) {
+		return false
+	}
+	u.recordFence(r, fence)
+	u.removeKeys(r)
+	return true
+}
+
 // Probe implements Grantor.
 func (p *process) Probe(ctx context.Context, at pimento.Server, _ string) error {
 	ctx, cancel := context.WithTimeout(ctx, 600*time.Millisecond)
--- a/leader/grants.go
+++ b/leader/grants.go
@@ -70,7 +70,7 @@
 		known = false
 	}
 	go func() {
-		sentAt := timekeeper.Now()
+		sentAt, authorityUntil := timekeeper.Now(), time.Unix(0, l.authorityUntil.Load())
 		result, cause := keeper.ResultUnsent, errNotGranting
 		if known && l.HasAuthority() {
 			ctx, cancel := context.WithTimeout(t.ctx, l.KeeperTiming.AnswerTimeout)
@@ -82,7 +82,8 @@
 			q.granting = false
 			l.keeper.HandleGrantResult(timekeeper.Now(), sentAt, c, result)
 			if result != keeper.ResultAccepted {
-				l.Events.Emit(pimento.EventGrantFailed, "Service", c.Service, "Upstream", c.Run.Upstream, "Keys", c.Grant.Range, "Fence", c.Grant.Fence, "Result", result, "Cause", cause)
+				l.Events.Emit(pimento.EventGrantFailed, "Service", c.Service, "Upstream", c.Run.Upstream, "Keys", c.Grant.Range, "Fence", c.Grant.Fence, "Result", result, "Cause", cause,
+					"Took", timekeeper.Now().Sub(sentAt).Round(time.Millisecond), "Authority", max(0, authorityUntil.Sub(sentAt)).Round(time.Millisecond))
 			}
 			l.startCalls(q)
 		})
--- a/leader/simulation_test.go
+++ b/leader/simulation_test.go
@@ -103,6 +103,7 @@
 			defer cl.mu.Unlock()
 			for _, p := range pairs {
 				delete(cl.cutLinks, p)
+				cl.healedAt[p] = time.Now()
 			}
 		})
 	}
