Withdraw calls to upstreams that are given up

What callers saw: two upstreams hold the same keys (OWNER): a grant that was given up at 80.0 s arrived at 85.7 s, after a cut had healed and the keys had gone to another upstream.

Cause: a call was given up by an orderly close. The kernel goes on sending what the connection holds, also when the process has ended. And a call whose deadline had passed before it began was written over a kept connection all the same.

Change: connections to upstreams are set to reset on close when they are opened; no call is written once its context has ended.

--- a/connector/client.go
+++ b/connector/client.go
@@ -168,7 +168,7 @@
 	}
 }
 
-// dial opens a connection.
+// dial opens a connection. Closing it withdraws what was written and not received.
 func (c *Client) dial(ctx context.Context) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
@@ -177,6 +177,14 @@
 	if err != nil {
 		return nil, err
 	}
+	// Closing then resets the connection, also when the process ends: after an orderly
+	// close, the kernel would go on sending a call that was given up.
+	if tcp, ok := raw.(*net.TCPConn); ok {
+		if err := tcp.SetLinger(0); err != nil {
+			raw.Close()
+			return nil, err
+		}
+	}
 	if c.OnDial != nil {
 		c.OnDial()
 	}
@@ -236,6 +244,10 @@
 			return pimento.Answer{}, pimento.AnswerMetadata{}, pimento.NotRun(pimento.ReasonUpstreamLost, err.Error())
 		}
 	}
+	if ctx.Err() != nil {
+		cn.Close()
+		return pimento.Answer{}, pimento.AnswerMetadata{}, pimento.NotRun(contextReason(ctx), "it ended before it was sent")
+	}
 	e := &exchange{client: c, conn: cn, request: r}
 	e.stop = context.AfterFunc(ctx, func() { cn.Close() })
 	answer, metadata, err := e.roundTrip(body)
@@ -255,13 +267,26 @@
 	if errors.As(err, &outcome) && outcome.Outcome == pimento.OutcomeNotRun {
 		return err
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return pimento.Unknown(pimento.ReasonTimeout, "the upstream has not answered in time")
+	switch reason := contextReason(ctx); reason {
+	case pimento.ReasonTimeout:
+		return pimento.Unknown(reason, "the upstream has not answered in time")
+	case pimento.ReasonStopping:
+		return pimento.Unknown(reason, pimento.ErrStopping.Error())
+	default:
+		return pimento.Unknown(reason, "the caller has left")
 	}
-	if errors.Is(context.Cause(ctx), pimento.ErrStopping) {
-		return pimento.Unknown(pimento.ReasonStopping, pimento.ErrStopping.Error())
+}
+
+// contextReason returns the reason why the context of a request has ended.
+func contextReason(ctx context.Context) pimento.Reason {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return pimento.ReasonTimeout
+	case errors.Is(context.Cause(ctx), pimento.ErrStopping):
+		return pimento.ReasonStopping
+	default:
+		return pimento.ReasonCallerGone
 	}
-	return pimento.Unknown(pimento.ReasonCallerGone, "the caller has left")
 }
 
 // exchange is one request with its answer on a connection.
--- a/connector/control.go
+++ b/connector/control.go
@@ -152,6 +152,10 @@
 	if err != nil {
 		return reply{}, &pimento.UnreachableError{Target: string(c.Server.Name), Cause: err, Unsent: true}
 	}
+	if err := ctx.Err(); err != nil {
+		cn.Close()
+		return reply{}, &pimento.UnreachableError{Target: string(c.Server.Name), Cause: err, Unsent: true}
+	}
 	kept := !cn.expires.IsZero()
 	stop := context.AfterFunc(ctx, func() { cn.Close() })
 	r, reusable, err := c.roundTripControl(cn, method, path, body)
