Send no grant after the authority or the time for it has ended

Cause: authority was checked before a probe and a dial, so a grant could be written up to 600 ms later, and later still by a stalled process. A new leader waited for the end of the earlier authority and one hold: the time that the last grant is under way was in no sum.

Change: a grant carries the time until which it may be sent, at most the end of the authority, on the clock that goes on during a suspension; package connector checks it right before writing. A new leader also waits for the answer timeout. The simulation withdraws calls that were given up, as package connector does; that it would find held-up ones is a test of its own.

--- a/connector/control.go
+++ b/connector/control.go
@@ -9,8 +9,25 @@
 	"time"
 
 	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/timekeeper"
 )
 
+// control is a grant, release or health call.
+type control struct {
+	method     string
+	path       string
+	body       []byte    // nil: none
+	sendBefore time.Time // by package timekeeper; zero: it may be sent at any time
+}
+
+// isLate reports whether a call must not be sent any more.
+func (c control) isLate() bool {
+	return !c.sendBefore.IsZero() && !timekeeper.Now().Before(c.sendBefore)
+}
+
+// errLate is the cause if a call was not sent since its time has passed.
+var errLate = errors.New("the time for sending it has passed")
+
 // reply is the answer to a control call; its body is discarded.
 type reply struct {
 	status int
@@ -26,7 +43,7 @@
 		return fmt.Errorf("Client.Grant: %w", err)
 	}
 	path, body := c.Wire.Grant(g)
-	r, err := c.callControl(ctx, http.MethodPost, path, body, controlTimeout)
+	r, err := c.callControl(ctx, control{method: http.MethodPost, path: path, body: body, sendBefore: g.SendBefore}, controlTimeout)
 	if err != nil {
 		return fmt.Errorf("Client.Grant: %w", err)
 	}
@@ -102,7 +119,7 @@
 // handover for their next holder.
 func (c *Client) Release(ctx context.Context, keyRange pimento.KeyRange, fence uint64, wait time.Duration) (string, error) {
 	path, body := c.Wire.Release(keyRange, fence)
-	r, err := c.callControl(ctx, http.MethodPost, path, body, wait)
+	r, err := c.callControl(ctx, control{method: http.MethodPost, path: path, body: body}, wait)
 	if err != nil {
 		return "", fmt.Errorf("Client.Release: %w", err)
 	}
@@ -112,7 +129,7 @@
 // Probe calls the upstream's health check at path. It fails if another upstream
 // answers.
 func (c *Client) Probe(ctx context.Context, path string) (healthy bool, metadata pimento.AnswerMetadata, err error) {
-	r, err := c.callControl(ctx, http.MethodGet, path, nil, controlTimeout)
+	r, err := c.callControl(ctx, control{method: http.MethodGet, path: path}, controlTimeout)
 	if err != nil {
 		return false, pimento.AnswerMetadata{}, fmt.Errorf("Client.Probe: %w", err)
 	}
@@ -143,22 +160,26 @@
 	return &pimento.UnreachableError{Target: string(c.Server.Name), Cause: fmt.Errorf("unexpected status %d", r.status)}
 }
 
-// callControl makes a grant, release or health call. Unlike a request, it needs
-// no permit and is not counted.
-func (c *Client) callControl(ctx context.Context, method, path string, body []byte, wait time.Duration) (reply, error) {
+// callControl makes a grant, release or health call and waits for its answer for wait
+// at most. Unlike a request, it needs no permit and is not counted.
+func (c *Client) callControl(ctx context.Context, call control, wait time.Duration) (reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	cn, err := c.getConn(ctx, false)
 	if err != nil {
 		return reply{}, &pimento.UnreachableError{Target: string(c.Server.Name), Cause: err, Unsent: true}
 	}
-	if err := ctx.Err(); err != nil {
+	err = ctx.Err()
+	if call.isLate() {
+		err = errLate
+	}
+	if err != nil {
 		cn.Close()
 		return reply{}, &pimento.UnreachableError{Target: string(c.Server.Name), Cause: err, Unsent: true}
 	}
 	kept := !cn.expires.IsZero()
 	stop := context.AfterFunc(ctx, func() { cn.Close() })
-	r, reusable, err := c.roundTripControl(cn, method, path, body)
+	r, reusable, err := c.roundTripControl(cn, call)
 	if err != nil || !stop() || !reusable {
 		cn.Close()
 	} else {
@@ -175,12 +196,12 @@
 
 // roundTripControl sends a control call on cn and reads the reply. It reports
 // whether the upstream keeps the connection open.
-func (c *Client) roundTripControl(cn *conn, method, path string, body []byte) (reply, bool, error) {
-	req, err := http.NewRequest(method, "http://"+c.Server.Address.String()+path, bytes.NewReader(body))
+func (c *Client) roundTripControl(cn *conn, call control) (reply, bool, error) {
+	req, err := http.NewRequest(call.method, "http://"+c.Server.Address.String()+call.path, bytes.NewReader(call.body))
 	if err != nil {
 		return reply{}, false, err
 	}
-	if body != nil {
+	if call.body != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
 	req.Header["User-Agent"] = nil
--- a/keeper/machine.go
+++ b/keeper/machine.go
@@ -70,6 +70,13 @@
 	return arrived.Add(time.Duration(float64(t.Hold)*(1+t.Drift)) + t.Safety)
 }
 
+// earlierExpiry returns when every grant of an earlier leader has expired. The last one
+// was sent before that leader's authority lapsed, and may have been under way for
+// AnswerTimeout.
+func (t Timing) earlierExpiry(in Input) time.Time {
+	return t.expiry(in.Settled.Add(t.AnswerTimeout))
+}
+
 // Input is the external state that a step depends on.
 type Input struct {
 	// Authority is the end of this process's authority.
@@ -249,8 +256,7 @@
 	if r.freed {
 		return
 	}
-	earlierExpiry := m.timing.expiry(in.Settled)
-	lapsed := now.After(r.formerMayHoldUntil) && now.After(earlierExpiry)
+	lapsed := now.After(r.formerMayHoldUntil) && m.EarlierGrantsExpired(now, in)
 	if lapsed || in.Ended(r.holding.Former) {
 		r.freed = true
 	}
@@ -258,7 +264,7 @@
 
 // EarlierGrantsExpired reports whether every grant of an earlier leader has expired.
 func (m *Machine) EarlierGrantsExpired(now time.Time, in Input) bool {
-	return now.After(m.timing.expiry(in.Settled))
+	return now.After(m.timing.earlierExpiry(in))
 }
 
 // dueRelease returns the call that takes a row's keys back, if it is due.
@@ -426,7 +432,7 @@
 			Ready: r.freed && !ended && now.Before(r.validUntil),
 			Lost:  ended || known && reach.lost, Fenced: r.fenced,
 		}
-		s.LapsesAt = later(later(r.mayHoldUntil, r.pendingExpiry), m.timing.expiry(in.Settled))
+		s.LapsesAt = later(later(r.mayHoldUntil, r.pendingExpiry), m.timing.earlierExpiry(in))
 		if ended || h.Holder.IsZero() {
 			s.LapsesAt = time.Time{}
 		}
--- a/leader/cluster_test.go
+++ b/leader/cluster_test.go
@@ -625,6 +625,9 @@
 	if p.cluster.happens(&p.cluster.stallRate) && !p.cluster.stall(&ctx) {
 		return &pimento.UnreachableError{Target: string(to.Name), Cause: ctx.Err(), Unsent: true}
 	}
+	if !time.Now().Before(g.SendBefore) {
+		return &pimento.UnreachableError{Target: string(to.Name), Cause: errNoAnswer, Unsent: true}
+	}
 	if !p.cluster.deliverCall(ctx, string(p.self.Host), string(to.Name), func() { p.cluster.applyGrant(p.self.ID, to, g, time.Now()) }) {
 		return unreachable
 	}
--- a/leader/grants.go
+++ b/leader/grants.go
@@ -65,16 +65,19 @@
 // this process has authority.
 func (l *Leader) sendGrant(q *queue, c keeper.Call) {
 	t := l.term
+	beganAt := timekeeper.Now()
 	s, known := t.serverOf(c.Run)
-	if !l.keeper.BeginGrant(timekeeper.Now(), c) {
+	if !l.keeper.BeginGrant(beganAt, c) {
 		known = false
 	}
 	go func() {
 		sentAt, authorityUntil := timekeeper.Now(), time.Unix(0, l.authorityUntil.Load())
 		result, cause := keeper.ResultUnsent, errNotGranting
 		if known && l.HasAuthority() {
+			grant := c.Grant
+			grant.SendBefore = earlier(authorityUntil, beganAt.Add(l.KeeperTiming.AnswerTimeout))
 			ctx, cancel := context.WithTimeout(t.ctx, l.KeeperTiming.AnswerTimeout)
-			cause = l.Grantor.Grant(ctx, s, c.Grant)
+			cause = l.Grantor.Grant(ctx, s, grant)
 			result = grantResult(cause)
 			cancel()
 		}
@@ -90,6 +93,13 @@
 	}()
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // grantResult maps the error of a grant to its result.
 func grantResult(err error) keeper.Result {
 	var fenced *pimento.FencedError
--- a/wire.go
+++ b/wire.go
@@ -87,8 +87,11 @@
 
 // KeyGrant grants keys to an upstream. Sending it again renews the grant.
 type KeyGrant struct {
-	Range    KeyRange
-	Fence    uint64
-	Hold     time.Duration // from its arrival at the upstream
-	Handover string        // of the upstream that held the keys before; may be empty
+	Range KeyRange
+	Fence uint64
+	Hold  time.Duration // from its arrival at the upstream
+	// SendBefore is when the grant must not be sent any more, on the clock of package
+	// timekeeper; zero: it may be sent at any time.
+	SendBefore time.Time
+	Handover   string // of the upstream that held the keys before; may be empty
 }
