Let nobody have keys that the next run of their holder may have taken

What callers saw: two upstreams hold the same keys (OWNER).

Cause: keys of a run that had ended were free at once. A grant names its upstream, not the run: the next run takes one that was meant for the run before, until the platform shows the new run. And a holding that overlaps several earlier ones, or follows two moves, remembered one earlier holder only.

Change: the former holder of moved keys is kept also if its run has ended; the release goes to whatever run has that upstream's name now, and without its answer the keys wait for the end of the last grant. Only the next run of the same upstream gets its keys at once. A row remembers until when any earlier holder may have its keys.

--- a/keeper/machine.go
+++ b/keeper/machine.go
@@ -5,10 +5,9 @@
 //
 // A range of keys is granted to its holder only once nobody else can hold it:
 //
-//   - its former holder has released it. The release carries the new fence, so
-//     that the former holder refuses every older grant that is still in flight;
-//     or
-//   - the run of the former holder has ended; or
+//   - its former holder, or the next run of that upstream, has released it. The
+//     release carries the new fence, so that it refuses every older grant that is
+//     still in flight; or
 //   - the last grant that may have reached the former holder has expired, and
 //     so has any grant of an earlier leader.
 //
@@ -87,6 +86,9 @@
 	Ended func(pimento.Run) bool
 	// AddressKnown reports whether the address of a run is known.
 	AddressKnown func(pimento.Run) bool
+	// UpstreamKnown reports whether the address of the latest run of an upstream is
+	// known. It has the keys of an earlier run if it took a grant that was meant for it.
+	UpstreamKnown func(pimento.UpstreamName) bool
 }
 
 // CallKind is the kind of a call.
@@ -122,8 +124,11 @@
 	service pimento.ServiceName
 	holding pimento.Holding
 
+	// Runs that are neither the holder nor the former holder.
+	othersMayHoldUntil time.Time // when the grants of this leader to them have expired
+
 	// The former holder.
-	freed              bool      // nobody but the holder can have the keys
+	freed              bool      // it cannot have the keys any more
 	formerMayHoldUntil time.Time // when the grants of this leader to it have expired
 	releasing          bool
 	releaseAt          time.Time // time of the next release at the earliest
@@ -182,29 +187,46 @@
 }
 
 // adoptHolding returns the row of a holding. It keeps the state of the present
-// row if the fence is the same. If the assignment was restored from a copy, a holder
-// that it does not name may still have the keys.
+// row if the fence is the same, and knows until when other holders of its keys may
+// have them. If the assignment was restored from a copy, a holder that it does not
+// name may still have the keys.
 func (m *Machine) adoptHolding(now time.Time, service pimento.ServiceName, h pimento.Holding, restored bool) *row {
 	free := h.Former.IsZero() && !restored
+	next := &row{service: service, holding: h, freed: free, grantAt: now}
 	for _, r := range m.rows {
-		if r.service != service || !r.holding.Overlaps(h.KeyRange) {
-			continue
-		}
-		if r.holding.Fence == h.Fence {
+		if r.service == service && r.holding.Overlaps(h.KeyRange) && r.holding.Fence == h.Fence {
 			piece := *r
 			piece.holding = h
 			piece.freed = r.freed || free
-			return &piece
+			next = &piece
 		}
-		next := &row{service: service, holding: h, freed: free, grantAt: now}
-		if r.holding.Holder.Same(h.Former) {
-			next.formerMayHoldUntil = later(r.mayHoldUntil, r.pendingExpiry)
+	}
+	for _, r := range m.rows {
+		if r.service == service && r.holding.Overlaps(h.KeyRange) && r.holding.Fence != h.Fence {
+			next.noteHolder(r.holding.Holder, later(r.mayHoldUntil, r.pendingExpiry))
+			if !r.freed {
+				next.noteHolder(r.holding.Former, r.formerMayHoldUntil)
+			}
+			next.othersMayHoldUntil = later(next.othersMayHoldUntil, r.othersMayHoldUntil)
 		}
-		return next
 	}
-	return &row{service: service, holding: h, freed: free, grantAt: now}
+	return next
 }
 
+// noteHolder notes until when a run may have keys of a row by the grants of this leader.
+func (r *row) noteHolder(run pimento.Run, until time.Time) {
+	switch {
+	case run.Same(r.holding.Holder):
+	case run.Same(r.holding.Former):
+		r.formerMayHoldUntil = later(r.formerMayHoldUntil, until)
+	default:
+		r.othersMayHoldUntil = later(r.othersMayHoldUntil, until)
+	}
+}
+
+// isFree reports whether nobody but the holder can have the keys of a row.
+func (r *row) isFree(now time.Time) bool { return r.freed && !now.Before(r.othersMayHoldUntil) }
+
 // pruneRuns deletes the reachability of runs that no row refers to.
 func (m *Machine) pruneRuns() {
 	inUse := make(map[runKey]bool)
@@ -250,14 +272,17 @@
 	return calls
 }
 
-// updateFreed marks a row as freed once its former holder has ended or all grants
-// to it have expired.
+// updateFreed marks a row as freed once all grants to its former holder have expired, or
+// that was an earlier run of the holder's upstream. That a run has ended frees no other
+// row: the next run may have taken a grant that was meant for it.
 func (m *Machine) updateFreed(now time.Time, r *row, in Input) {
 	if r.freed {
 		return
 	}
+	h := r.holding
 	lapsed := now.After(r.formerMayHoldUntil) && m.EarlierGrantsExpired(now, in)
-	if lapsed || in.Ended(r.holding.Former) {
+	startedAgain := h.Holder.Upstream == h.Former.Upstream && in.Ended(h.Former)
+	if lapsed || startedAgain {
 		r.freed = true
 	}
 }
@@ -269,7 +294,7 @@
 
 // dueRelease returns the call that takes a row's keys back, if it is due.
 func (m *Machine) dueRelease(now time.Time, r *row, in Input) (Call, bool) {
-	if r.freed || r.releasing || now.Before(r.releaseAt) || !in.AddressKnown(r.holding.Former) {
+	if r.freed || r.releasing || now.Before(r.releaseAt) || !in.UpstreamKnown(r.holding.Former.Upstream) {
 		return Call{}, false
 	}
 	r.releasing = true
@@ -282,7 +307,7 @@
 // dueGrant returns the call that grants a row's keys to its holder, if it is due.
 func (m *Machine) dueGrant(now time.Time, r *row, in Input) (Call, bool) {
 	h := r.holding
-	if !r.freed || r.granting || h.Holder.IsZero() || now.Before(r.grantAt) || !in.AddressKnown(h.Holder) || in.Ended(h.Holder) {
+	if !r.isFree(now) || r.granting || h.Holder.IsZero() || now.Before(r.grantAt) || !in.AddressKnown(h.Holder) || in.Ended(h.Holder) {
 		return Call{}, false
 	}
 	if m.reachabilityOf(now, h.Holder).lost {
@@ -428,8 +453,8 @@
 		ended := in.Ended(h.Holder)
 		reach, known := m.runs[keyOf(h.Holder)]
 		s := State{
-			Service: r.service, Holding: h, Freed: r.freed,
-			Ready: r.freed && !ended && now.Before(r.validUntil),
+			Service: r.service, Holding: h, Freed: r.isFree(now),
+			Ready: r.isFree(now) && !ended && now.Before(r.validUntil),
 			Lost:  ended || known && reach.lost, Fenced: r.fenced,
 		}
 		s.LapsesAt = later(later(r.mayHoldUntil, r.pendingExpiry), m.timing.earlierExpiry(in))
--- a/keeper/machine_test.go
+++ b/keeper/machine_test.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -48,6 +49,9 @@
 	}
 	in.Ended = func(r pimento.Run) bool { return contains(sim.ended, r) }
 	in.AddressKnown = func(r pimento.Run) bool { return !contains(sim.addressUnknown, r) }
+	in.UpstreamKnown = func(name pimento.UpstreamName) bool {
+		return !slices.ContainsFunc(sim.addressUnknown, func(r pimento.Run) bool { return r.Upstream == name })
+	}
 	return in
 }
 
--- a/leader/cluster_test.go
+++ b/leader/cluster_test.go
@@ -652,7 +652,7 @@
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	u := cl.upstreams[to.Name]
-	if !u.up || !u.server.Started.Equal(to.Started) {
+	if !u.up { // a call names the upstream, not its run
 		return &pimento.UnreachableError{Target: string(to.Name), Cause: errNoAnswer, Unsent: true}
 	}
 	for _, s := range u.fences {
@@ -756,7 +756,7 @@
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	u := cl.upstreams[from.Name]
-	if !u.up || !u.server.Started.Equal(from.Started) {
+	if !u.up {
 		return false
 	}
 	u.recordFence(r, fence)
@@ -774,7 +774,7 @@
 	}
 	p.cluster.mu.Lock()
 	u := p.cluster.upstreams[at.Name]
-	up := u.up && u.server.Started.Equal(at.Started)
+	up := u.up
 	p.cluster.mu.Unlock()
 	if !up || !p.cluster.deliver(ctx, string(at.Name), string(p.self.Host)) {
 		return unreachable
--- a/leader/delivery_test.go
+++ b/leader/delivery_test.go
@@ -193,3 +193,20 @@
 		})
 	}
 }
+
+// TestGrantReachesTheNextRun guards against keys that move while the next run of their
+// former holder holds them by a grant that was meant for the run before.
+func TestGrantReachesTheNextRun(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint(seed+1), func(t *testing.T) {
+			runCluster(t, seed+1, true, func(cl *cluster) {
+				for i := range 8 {
+					time.Sleep(time.Duration(700+37*i) * time.Millisecond)
+					cl.restartUpstream("u0")
+				}
+				time.Sleep(recoveryTime)
+				cl.checkHealthy(t)
+			})
+		})
+	}
+}
--- a/leader/grants.go
+++ b/leader/grants.go
@@ -116,11 +116,11 @@
 	}
 }
 
-// sendRelease sends one release if its run is known and this process has
-// authority.
+// sendRelease sends one release to the latest run of the former holder's upstream if
+// this process has authority.
 func (l *Leader) sendRelease(q *queue, c keeper.Call) {
 	t := l.term
-	s, known := t.serverOf(c.Run)
+	s, known := t.servers[c.Run.Upstream]
 	go func() {
 		var handover string
 		err := error(&pimento.UnreachableError{Target: string(c.Run.Upstream), Unsent: true})
@@ -128,6 +128,9 @@
 		if known && l.HasAuthority() {
 			handover, err = l.Grantor.Release(t.ctx, s, c.Grant.Range, c.Grant.Fence, releaseTimeout)
 		}
+		if !s.Started.Equal(c.Run.Started) {
+			handover = "" // the next run has no state of the keys
+		}
 		l.postTerm(t, func() {
 			q.releasing--
 			l.keeper.HandleReleaseResult(timekeeper.Now(), c, handover, err == nil)
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -385,8 +385,9 @@
 	}
 	return keeper.Input{
 		Authority: l.elector.AuthorityUntil(), Settled: settled,
-		Ended:        l.term.upstreams.ended,
-		AddressKnown: func(r pimento.Run) bool { _, ok := l.term.serverOf(r); return ok },
+		Ended:         l.term.upstreams.ended,
+		AddressKnown:  func(r pimento.Run) bool { _, ok := l.term.serverOf(r); return ok },
+		UpstreamKnown: func(name pimento.UpstreamName) bool { _, ok := l.term.servers[name]; return ok },
 	}
 }
 
--- a/leader/plan.go
+++ b/leader/plan.go
@@ -185,7 +185,7 @@
 		}
 		moves := partitioner.Plan(l.partitionerInput(now, in, s, next.Table(s.Name), balance))
 		for _, m := range moves {
-			l.applyMove(in, next, next.Table(s.Name), m)
+			applyMove(next, next.Table(s.Name), m)
 			l.term.moves = append(l.term.moves, fmt.Sprintf("%s %s to %s (%s)", s.Name, m.KeyRange, m.Holder.Upstream, m.Reason))
 		}
 		changed = changed || len(moves) > 0
@@ -278,7 +278,7 @@
 
 // applyMove assigns a range to another holder, under a new fence for each holding
 // that overlaps it.
-func (l *Leader) applyMove(in keeper.Input, a *pimento.Assignment, table *pimento.Table, m partitioner.Move) {
+func applyMove(a *pimento.Assignment, table *pimento.Table, m partitioner.Move) {
 	var out []pimento.Holding
 	for _, h := range table.Holdings {
 		if !h.Overlaps(m.KeyRange) {
@@ -295,9 +295,7 @@
 			Fence:    a.NextFence, Holder: m.Holder,
 		}
 		a.NextFence++
-		if !h.Holder.IsZero() && !in.Ended(h.Holder) {
-			moved.Former = h.Holder
-		}
+		moved.Former = h.Holder
 		out = append(out, moved)
 		if h.To > m.To {
 			right := h
