Show how old the manifest is by which a request is refused

Callers saw 404 for added routes by manifest 71 while the store had acknowledged 77 more than two seconds before. Log and metrics could not tell whether the answering process or its leader was behind the store.

6002 without a route says when this process last read the store and when its leader last announced no newer manifest, 2016 when the leader last read it, relay_manifest_read_age the same as a gauge. No decision changes.

--- a/assembler/deployment.go
+++ b/assembler/deployment.go
@@ -53,6 +53,9 @@
 	Log     hclog.Logger
 	// ExternalEntries means that Start starts no entry processes.
 	ExternalEntries bool
+	// Source returns the source of the next entry process, which reads through the
+	// given one; nil: that one itself.
+	Source func(pimento.Source) pimento.Source
 	// Proxy returns the address of a proxy for that of an upstream; nil: no proxy.
 	Proxy func(netip.AddrPort) (netip.AddrPort, error)
 
@@ -147,9 +150,13 @@
 	d.mu.Unlock()
 	started := make(chan pimento.Process, 1)
 	store := d.Client()
+	var source pimento.Source = &surveyor.Surveyor{Store: store}
+	if d.Source != nil {
+		source = d.Source(source)
+	}
 	e := &Entry{done: make(chan error, 1), router: &router.Router{
 		Host: host, Domain: domain, Peer: loopback, Caller: loopback, Operator: loopback,
-		Store: store, Source: &surveyor.Surveyor{Store: store}, Bounds: pimento.DefaultBounds(), RequireKey: true,
+		Store: store, Source: source, Bounds: pimento.DefaultBounds(), RequireKey: true,
 		CallerWire: translator.Wire{}, UpstreamWire: translator.Wire{}, Log: d.Log.Named(string(host)),
 		OnRegistered: func(p pimento.Process) { started <- p },
 	}}
--- a/event.go
+++ b/event.go
@@ -136,3 +136,11 @@
 	Name       string
 	Attributes []Attribute
 }
+
+// Age describes for the log how long ago t was, to a millisecond: Never if t is zero.
+func Age(now, t time.Time) string {
+	if t.IsZero() {
+		return "Never"
+	}
+	return now.Sub(t).Round(time.Millisecond).String()
+}
--- a/leader/cluster_test.go
+++ b/leader/cluster_test.go
@@ -558,6 +558,9 @@
 	return p.roster.Processes[i], true
 }
 
+// ManifestReadAt implements Member.
+func (simMember) ManifestReadAt() time.Time { return time.Time{} }
+
 // Announced implements Member.
 func (simMember) Announced(messenger.Versions) {}
 
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -79,6 +79,9 @@
 	// Manifest returns the manifest in force here, nil if none is known, and its
 	// encoding in the store.
 	Manifest() (*pimento.Manifest, []byte)
+	// ManifestReadAt returns when the last answered read of the manifest in the store
+	// by this process began, zero if there was none.
+	ManifestReadAt() time.Time
 	// Report returns the measurements since the last report.
 	Report() messenger.Report
 	// Versions returns the versions of the state that this process has.
--- a/leader/push_test.go
+++ b/leader/push_test.go
@@ -109,6 +109,7 @@
 func (m *fixedMember) Process(pimento.ProcessID) (pimento.Process, bool) {
 	return pimento.Process{}, false
 }
+func (m *fixedMember) ManifestReadAt() time.Time    { return time.Time{} }
 func (m *fixedMember) Announced(messenger.Versions) {}
 func (m *fixedMember) Versions() messenger.Versions { return messenger.Versions{Manifest: m.version} }
 func (m *fixedMember) Manifest() (*pimento.Manifest, []byte) {
--- a/leader/spread.go
+++ b/leader/spread.go
@@ -43,7 +43,8 @@
 	switch {
 	case len(lacking) == 0:
 		s.complete = true
-		l.Events.Emit(pimento.EventManifestSpread, "Version", s.version, "Members", len(l.term.members), "Silent", silent, "Took", after.Round(time.Millisecond))
+		l.Events.Emit(pimento.EventManifestSpread, "Version", s.version, "Members", len(l.term.members), "Silent", silent, "Took", after.Round(time.Millisecond),
+			"Read", pimento.Age(now, l.Member.ManifestReadAt()))
 	case after > manifestLateAfter && !s.reportedLate:
 		s.reportedLate = true
 		named := strings.Join(lacking[:min(len(lacking), maxNamedMembers)], "; ")
--- a/router/follower.go
+++ b/router/follower.go
@@ -41,6 +41,8 @@
 	announcedNewer  chan struct{} // signals that announced has become newer than the one in force
 	// manifestDecoding is how long decoding the manifest in force took.
 	manifestDecoding time.Duration
+	manifestReadAt   time.Time // when the last answered read of the manifest in the store began
+	vouchedAt        time.Time // when the leader last announced no newer manifest
 	roster           *messenger.Roster
 	upstreams        map[pimento.UpstreamName]pimento.Server
 	domainsOut       []pimento.DomainName // that get no work
--- a/router/manifest.go
+++ b/router/manifest.go
@@ -132,6 +132,7 @@
 		ctx, cancel = context.WithTimeout(ctx, wait+watchMargin)
 		defer cancel()
 	}
+	began := time.Now()
 	value, revision, err := f.router.Source.Manifest(ctx, after, wait)
 	if err != nil {
 		return pimento.Revision{}, err
@@ -140,9 +141,27 @@
 	if value != nil {
 		f.adoptManifest(value, manifestOrigin{From: originStore, Revision: revision})
 	}
+	f.mu.Lock()
+	f.manifestReadAt = began
+	f.mu.Unlock()
 	return revision, nil
 }
 
+// ManifestReadAt implements leader.Member.
+func (f *follower) ManifestReadAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.manifestReadAt
+}
+
+// manifestVouchedAt returns when the leader last announced no newer manifest than
+// the one in force, zero if never.
+func (f *follower) manifestVouchedAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.vouchedAt
+}
+
 // originStore is the origin of a manifest that this process read itself.
 const originStore = "Store"
 
@@ -163,6 +182,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.noteAnnouncedUpstreams(v)
+	if v.Manifest <= f.versions.Manifest {
+		f.vouchedAt = time.Now()
+	}
 	if v.Manifest <= f.announced.version {
 		return
 	}
--- a/router/observer.go
+++ b/router/observer.go
@@ -20,6 +20,9 @@
 	events  *recorder.Recorder
 	metrics *metrics.Set
 	epoch   func() uint64 // of the latest known term
+	// manifestReadAt and manifestVouchedAt return when the store was last read for a
+	// manifest, and when the leader last announced no newer one; zero: never.
+	manifestReadAt, manifestVouchedAt func() time.Time
 
 	usedManifest atomic.Uint64 // latest version under which a request has ended
 }
@@ -129,6 +132,7 @@
 		out = append(out, "Route", r.Route.Name, "Service", r.Service)
 	} else {
 		out = append(out, "Method", r.Method, "Host", r.Host)
+		out = append(out, "Read", pimento.Age(now, o.manifestReadAt()), "Vouched", pimento.Age(now, o.manifestVouchedAt()))
 	}
 	if r.Keyed {
 		out = append(out, "Key", r.Key)
--- a/router/operators.go
+++ b/router/operators.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -38,6 +39,7 @@
 		"relay_epoch":              func() float64 { return float64(r.leader.Term().Epoch) },
 		"relay_manifest_version":   func() float64 { return float64(r.follower.Versions().Manifest) },
 		"relay_manifest_announced": func() float64 { return float64(r.follower.announcedVersion()) },
+		"relay_manifest_read_age":  func() float64 { return ageSeconds(r.follower.ManifestReadAt()) },
 		"relay_unheld_keys":        func() float64 { return float64(r.follower.unheldKeys()) },
 		"relay_waiting_requests":   func() float64 { return float64(r.admitter.Waiting()) },
 		"relay_active_requests":    func() float64 { return float64(r.acceptor.Active()) },
@@ -48,6 +50,14 @@
 	}
 }
 
+// ageSeconds returns the seconds since t, -1 if t is zero.
+func ageSeconds(t time.Time) float64 {
+	if t.IsZero() {
+		return -1
+	}
+	return time.Since(t).Seconds()
+}
+
 func gaugeValue(b bool) float64 {
 	if b {
 		return 1
--- a/router/router.go
+++ b/router/router.go
@@ -130,7 +130,11 @@
 	r.events = &recorder.Recorder{Process: r.self.ID, Log: r.Log, OnDropped: func(n pimento.EventNumber) {
 		r.observer.count("relay_log_lines_dropped_total", "Event", int(n))
 	}}
-	r.observer = &observer{events: r.events, metrics: r.metrics, epoch: func() uint64 { return r.leader.Term().Epoch }}
+	r.observer = &observer{
+		events: r.events, metrics: r.metrics, epoch: func() uint64 { return r.leader.Term().Epoch },
+		manifestReadAt:    func() time.Time { return r.follower.ManifestReadAt() },
+		manifestVouchedAt: func() time.Time { return r.follower.manifestVouchedAt() },
+	}
 	r.messenger = &messenger.Messenger{Self: r.self, Handler: (*handler)(r)}
 	r.admitter = &admitter.Admitter{Self: r.self, Peers: r.messenger, Wire: r.UpstreamWire, RetryBudget: retryBudget(r.Bounds), OnLimit: r.observer.limitChanged}
 	r.registrar = &registrar.Registrar{Self: r.self, Peers: r.messenger, Events: r.events}
