Say why a grant was not sent, and how long it waited

The log had hundreds of 4007 Unsent with one cause for three cases: the run is not known, the keys have moved, this process has no authority. Each has its own cause now, with the time that the grant waited for those before it, the time that its handling took, and how many wait behind it. No decision changes.

--- a/leader/grants.go
+++ b/leader/grants.go
@@ -24,12 +24,18 @@
 // queue holds the calls to one upstream, which run as one grant at a time and
 // up to maxConcurrentReleases releases.
 type queue struct {
-	grants    []keeper.Call
+	grants    []queuedGrant
 	granting  bool
 	releases  []keeper.Call
 	releasing int
 }
 
+// queuedGrant is a grant that waits for the one before it.
+type queuedGrant struct {
+	call     keeper.Call
+	queuedAt time.Time
+}
+
 // enqueueCall queues a call that the keeper requested.
 func (l *Leader) enqueueCall(c keeper.Call) {
 	q, ok := l.term.queues[c.Run.Upstream]
@@ -38,7 +44,7 @@
 		l.term.queues[c.Run.Upstream] = q
 	}
 	if c.Kind == keeper.CallGrant {
-		q.grants = append(q.grants, c)
+		q.grants = append(q.grants, queuedGrant{call: c, queuedAt: timekeeper.Now()})
 	} else {
 		q.releases = append(q.releases, c)
 	}
@@ -48,10 +54,10 @@
 // startCalls starts the queued calls that may run now.
 func (l *Leader) startCalls(q *queue) {
 	if !q.granting && len(q.grants) > 0 {
-		c := q.grants[0]
+		next := q.grants[0]
 		q.grants = q.grants[1:]
 		q.granting = true
-		l.sendGrant(q, c)
+		l.sendGrant(q, next)
 	}
 	for q.releasing < maxConcurrentReleases && len(q.releases) > 0 {
 		c := q.releases[0]
@@ -63,16 +69,14 @@
 
 // sendGrant sends one grant if the keeper still wants it, its run is known and
 // this process has authority.
-func (l *Leader) sendGrant(q *queue, c keeper.Call) {
-	t := l.term
+func (l *Leader) sendGrant(q *queue, next queuedGrant) {
+	t, c := l.term, next.call
 	s, known := t.serverOf(c.Run)
-	if !l.keeper.BeginGrant(timekeeper.Now(), c) {
-		known = false
-	}
+	wanted := l.keeper.BeginGrant(timekeeper.Now(), c)
 	go func() {
 		sentAt := timekeeper.Now()
-		result, cause := keeper.ResultUnsent, errNotGranting
-		if known && l.HasAuthority() {
+		result, cause := keeper.ResultUnsent, l.whyNotGranting(known, wanted)
+		if cause == nil {
 			ctx, cancel := context.WithTimeout(t.ctx, l.KeeperTiming.AnswerTimeout)
 			cause = l.Grantor.Grant(ctx, s, c.Grant)
 			result = grantResult(cause)
@@ -82,7 +86,8 @@
 			q.granting = false
 			l.keeper.HandleGrantResult(timekeeper.Now(), sentAt, c, result)
 			if result != keeper.ResultAccepted {
-				l.Events.Emit(pimento.EventGrantFailed, "Service", c.Service, "Upstream", c.Run.Upstream, "Keys", c.Grant.Range, "Fence", c.Grant.Fence, "Result", result, "Cause", cause)
+				l.Events.Emit(pimento.EventGrantFailed, "Service", c.Service, "Upstream", c.Run.Upstream, "Keys", c.Grant.Range, "Fence", c.Grant.Fence, "Result", result, "Cause", cause,
+					"Queued", sentAt.Sub(next.queuedAt).Round(time.Millisecond), "Took", timekeeper.Now().Sub(sentAt).Round(time.Millisecond), "Waiting", len(q.grants))
 			}
 			l.startCalls(q)
 		})
@@ -185,5 +190,22 @@
 	return "/"
 }
 
-// errNotGranting is the cause of a grant that was not attempted.
-var errNotGranting = errors.New("the upstream is not known, or this process has no authority")
+// The causes of a grant that was not attempted.
+var (
+	errRunNotKnown    = errors.New("the upstream is not known")
+	errGrantNotWanted = errors.New("the keys have moved or their range has changed")
+	errLacksAuthority = errors.New("this process has no authority")
+)
+
+// whyNotGranting returns why a grant must not be sent, nil if it may be.
+func (l *Leader) whyNotGranting(known, wanted bool) error {
+	switch {
+	case !known:
+		return errRunNotKnown
+	case !wanted:
+		return errGrantNotWanted
+	case !l.HasAuthority():
+		return errLacksAuthority
+	}
+	return nil
+}
