Log which crashes count against a request, and which are forgotten and why

What callers saw: nothing. Change: package quarantiner keeps a bounded list of findings (evidence, time between the break and the evidence, count), the admitter adds the start of the run, events 5009 to 5011, and relay_crash_findings_total; the leader logs each crash that a member reports. No decision changes.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -99,9 +99,13 @@
 	RetryBudget RetryBudget // once running, change it with SetRetryBudget
 	// OnLimit is called for each change of the limit of an upstream; it may be nil.
 	OnLimit func(limiter.Change)
+	// OnCrashFinding is called for each finding about a request that may crash
+	// upstreams; it may be nil.
+	OnCrashFinding func(CrashFinding)
 
 	mu         sync.Mutex
 	quarantine *quarantiner.Machine
+	findings   []CrashFinding // since the last tick
 	state      *Snapshot
 	pools      map[poolKey]*pool
 	skipUntil  map[pimento.ProcessID]time.Time // dispatchers that did not answer
@@ -375,9 +379,12 @@
 	for _, p := range a.pools {
 		waiting = waiting || p.machine.Waiting() > 0
 	}
+	findings := a.findings
+	a.findings = nil
 	a.mu.Unlock()
 	runAll(callbacks)
 	a.reportLimits(changes)
+	a.reportFindings(findings)
 	return waiting
 }
 
--- a/admitter/crash.go
+++ b/admitter/crash.go
@@ -22,6 +22,7 @@
 	if issued.upstream == "" {
 		return // the permit has already ended
 	}
+	defer a.keepFindings()
 	switch kind {
 	case scheduler.ResultAnswered, scheduler.ResultFailed:
 		a.quarantine.Answered(issued.upstream, issued.at, issued.fingerprint)
@@ -44,6 +45,47 @@
 			a.quarantine.Restarted(now, u.Name)
 		}
 	}
+	a.keepFindings()
+}
+
+// CrashFinding is a finding about a request and the run of the upstream concerned.
+type CrashFinding struct {
+	quarantiner.Finding
+	Started time.Time // of the run; zero: not known
+}
+
+// maxCrashFindings bounds the findings between two ticks.
+const maxCrashFindings = 256
+
+// keepFindings keeps the findings of the quarantine for the next tick. The caller
+// holds mu.
+func (a *Admitter) keepFindings() {
+	for _, f := range a.quarantine.Findings() {
+		if len(a.findings) < maxCrashFindings {
+			a.findings = append(a.findings, CrashFinding{Finding: f, Started: a.startOf(f.Upstream)})
+		}
+	}
+}
+
+// startOf returns the start of the known run of an upstream, zero if none is known.
+// The caller holds mu.
+func (a *Admitter) startOf(name pimento.UpstreamName) time.Time {
+	for _, u := range a.state.Upstreams {
+		if u.Name == name {
+			return u.Started
+		}
+	}
+	return time.Time{}
+}
+
+// reportFindings passes findings to OnCrashFinding. The caller does not hold mu.
+func (a *Admitter) reportFindings(findings []CrashFinding) {
+	if a.OnCrashFinding == nil {
+		return
+	}
+	for _, f := range findings {
+		a.OnCrashFinding(f)
+	}
 }
 
 // Block refuses requests that were confirmed to crash upstreams.
@@ -53,6 +95,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, p := range fingerprints {
-		a.quarantine.Block(now, p)
+		a.quarantine.BlockReported(now, p)
 	}
+	a.keepFindings()
 }
--- a/event.go
+++ b/event.go
@@ -40,6 +40,9 @@
 	EventLimitNamed      EventNumber = 5006
 	EventLimitEnded      EventNumber = 5007
 	EventLimitInvalid    EventNumber = 5008
+	EventCrashCounted    EventNumber = 5009
+	EventCrashDropped    EventNumber = 5010
+	EventRequestRefused  EventNumber = 5011
 	EventGrantFailed     EventNumber = 4007
 	EventReleased        EventNumber = 4008
 	EventKeysMoved       EventNumber = 4009
@@ -84,6 +87,9 @@
 	EventLimitNamed:      "upstream names a limit",
 	EventLimitEnded:      "upstream names no limit any more",
 	EventLimitInvalid:    "upstream names a limit that is not valid",
+	EventCrashCounted:    "crash of an upstream counts against a request",
+	EventCrashDropped:    "broken connection or crashes count for nothing",
+	EventRequestRefused:  "request that crashes upstreams is refused",
 	EventGrantFailed:     "grant of keys failed",
 	EventReleased:        "release of keys ended",
 	EventKeysMoved:       "keys go to another upstream",
--- a/leader/heartbeat.go
+++ b/leader/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -126,6 +127,15 @@
 	l.elector.HandleReply(sentAt, m.process.ID, r.Epoch, r.Confirmed)
 	if l.term != nil {
 		l.term.applyReport(now, r.Report)
+		l.logCrashReports(m.process.ID, r.Report.CrashReports)
+	}
+}
+
+// logCrashReports logs the crash reports of a member that were counted.
+func (l *Leader) logCrashReports(from pimento.ProcessID, reports []quarantiner.Fingerprint) {
+	for _, p := range reports {
+		l.Events.Emit(pimento.EventCrashCounted, "Fingerprint", fmt.Sprintf("%016x", uint64(p)), "Evidence", quarantiner.EvidenceReport,
+			"Crashes", l.term.quarantine.Crashes(p), "From", from)
 	}
 }
 
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -351,7 +351,9 @@
 	l.sendHeartbeats(now)
 	if !now.Before(t.reportAt) {
 		t.reportAt = now.Add(l.ElectorTiming.HeartbeatInterval)
-		t.applyReport(now, l.Member.Report())
+		report := l.Member.Report()
+		t.applyReport(now, report)
+		l.logCrashReports(l.Self.ID, report.CrashReports)
 	}
 	if !t.listing && !now.Before(t.listAt) {
 		l.readUpstreams(now)
--- a/quarantiner/machine.go
+++ b/quarantiner/machine.go
@@ -68,6 +68,7 @@
 	crashes      map[Fingerprint]crashCount
 	blockedUntil map[Fingerprint]time.Time
 	reports      []Fingerprint
+	findings     []Finding
 }
 
 // New returns a machine without suspects or crashes.
@@ -81,7 +82,13 @@
 // ConnectionBroke records that the connection of a request to an upstream broke
 // without an answer.
 func (m *Machine) ConnectionBroke(now time.Time, upstream pimento.UpstreamName, p Fingerprint) {
-	if p != 0 && !m.down[upstream] && len(m.suspects[upstream]) < maxFingerprints {
+	switch {
+	case p == 0:
+	case m.down[upstream]:
+		m.addFinding(Finding{Kind: FindingDropped, Fingerprint: p, Upstream: upstream, Evidence: EvidenceDown})
+	case len(m.suspects[upstream]) >= maxFingerprints:
+		m.addFinding(Finding{Kind: FindingDropped, Fingerprint: p, Upstream: upstream, Evidence: EvidenceFull})
+	default:
 		m.suspects[upstream] = append(m.suspects[upstream], suspect{fingerprint: p, at: now})
 	}
 }
@@ -89,26 +96,39 @@
 // Down records that an upstream was found to be down. Connections that break
 // there before it answers or restarts are not counted as another crash.
 func (m *Machine) Down(now time.Time, upstream pimento.UpstreamName) {
-	m.confirmCrash(now, upstream)
+	m.confirmCrash(now, upstream, EvidenceDown)
 	m.down[upstream] = true
 }
 
 // Restarted records that an upstream was found to have restarted, or to be
 // gone.
 func (m *Machine) Restarted(now time.Time, upstream pimento.UpstreamName) {
-	m.confirmCrash(now, upstream)
+	m.confirmCrash(now, upstream, EvidenceRestarted)
 	delete(m.down, upstream)
 }
 
 // confirmCrash counts a crash against each suspect of an upstream within
 // confirmWindow, once per fingerprint.
-func (m *Machine) confirmCrash(now time.Time, upstream pimento.UpstreamName) {
+func (m *Machine) confirmCrash(now time.Time, upstream pimento.UpstreamName, evidence Evidence) {
 	counted := make(map[Fingerprint]bool)
 	for _, s := range m.suspects[upstream] {
-		if now.Sub(s.at) <= confirmWindow && !counted[s.fingerprint] {
-			counted[s.fingerprint] = true
-			m.reports = append(m.reports, s.fingerprint)
-			m.CountCrash(now, s.fingerprint)
+		if counted[s.fingerprint] {
+			continue
+		}
+		found := Finding{Fingerprint: s.fingerprint, Upstream: upstream, Evidence: evidence, After: now.Sub(s.at)}
+		if now.Sub(s.at) > confirmWindow {
+			found.Kind, found.Evidence = FindingDropped, EvidenceLate
+			m.addFinding(found)
+			continue
+		}
+		counted[s.fingerprint] = true
+		m.reports = append(m.reports, s.fingerprint)
+		refused := m.CountCrash(now, s.fingerprint)
+		found.Kind, found.Count = FindingCounted, m.crashes[s.fingerprint].count
+		m.addFinding(found)
+		if refused {
+			found.Kind = FindingRefused
+			m.addFinding(found)
 		}
 	}
 	delete(m.suspects, upstream)
@@ -118,9 +138,15 @@
 // So the request did not crash it, and if all breaks there came before sentAt,
 // none was a crash.
 func (m *Machine) Answered(upstream pimento.UpstreamName, sentAt time.Time, p Fingerprint) {
-	delete(m.crashes, p)
+	if c, ok := m.crashes[p]; ok {
+		delete(m.crashes, p)
+		m.addFinding(Finding{Kind: FindingReset, Fingerprint: p, Upstream: upstream, Count: c.count, Evidence: EvidenceAnswered})
+	}
 	delete(m.down, upstream)
 	if list, ok := m.suspects[upstream]; ok && sentAt.After(list[len(list)-1].at) {
+		for _, s := range list {
+			m.addFinding(Finding{Kind: FindingDropped, Fingerprint: s.fingerprint, Upstream: upstream, Evidence: EvidenceAnswered})
+		}
 		delete(m.suspects, upstream)
 	}
 }
@@ -144,6 +170,17 @@
 // reached CrashLimit over all processes.
 func (m *Machine) Block(now time.Time, p Fingerprint) { m.blockedUntil[p] = now.Add(blockDuration) }
 
+// BlockReported is Block for what another process has found.
+func (m *Machine) BlockReported(now time.Time, p Fingerprint) {
+	if !m.Blocked(now, p) {
+		m.addFinding(Finding{Kind: FindingRefused, Fingerprint: p, Count: m.crashes[p].count, Evidence: EvidenceReport})
+	}
+	m.Block(now, p)
+}
+
+// Crashes returns the number of crashes in a row counted against a request.
+func (m *Machine) Crashes(p Fingerprint) int { return m.crashes[p].count }
+
 // Blocked reports whether a request is refused because it reached CrashLimit.
 func (m *Machine) Blocked(now time.Time, p Fingerprint) bool { return now.Before(m.blockedUntil[p]) }
 
--- a/router/observer.go
+++ b/router/observer.go
@@ -10,8 +10,10 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/admitter"
 	"pimentorelay.example/pimento/forwarder"
 	"pimentorelay.example/pimento/limiter"
+	"pimentorelay.example/pimento/quarantiner"
 	"pimentorelay.example/pimento/recorder"
 )
 
@@ -102,6 +104,24 @@
 	}
 }
 
+// crashFound logs and records a finding about a request that may crash upstreams.
+// Broken connections that count for nothing are not kept on the timeline.
+func (o *observer) crashFound(f admitter.CrashFinding) {
+	o.count("relay_crash_findings_total", "Kind", f.Kind, "Evidence", f.Evidence)
+	attributes := []any{"Fingerprint", fmt.Sprintf("%016x", uint64(f.Fingerprint)), "Evidence", f.Evidence, "Crashes", f.Count}
+	if f.Upstream != "" {
+		attributes = append(attributes, "Upstream", f.Upstream, "Started", f.Started, "After", roundToMillis(f.After))
+	}
+	switch f.Kind {
+	case quarantiner.FindingCounted:
+		o.events.Emit(pimento.EventCrashCounted, attributes...)
+	case quarantiner.FindingRefused:
+		o.events.Emit(pimento.EventRequestRefused, attributes...)
+	default:
+		o.events.LogOnly(pimento.EventCrashDropped, append(attributes, "Kind", f.Kind)...)
+	}
+}
+
 // countRequest records the outcome and duration of a request.
 func (o *observer) countRequest(route pimento.RouteName, outcome pimento.Outcome, reason pimento.Reason, t *forwarder.Trace) {
 	o.count("relay_requests_total", "Route", route, "Outcome", outcome, "Reason", reason)
--- a/router/router.go
+++ b/router/router.go
@@ -132,7 +132,7 @@
 	}}
 	r.observer = &observer{events: r.events, metrics: r.metrics, epoch: func() uint64 { return r.leader.Term().Epoch }}
 	r.messenger = &messenger.Messenger{Self: r.self, Handler: (*handler)(r)}
-	r.admitter = &admitter.Admitter{Self: r.self, Peers: r.messenger, Wire: r.UpstreamWire, RetryBudget: retryBudget(r.Bounds), OnLimit: r.observer.limitChanged}
+	r.admitter = &admitter.Admitter{Self: r.self, Peers: r.messenger, Wire: r.UpstreamWire, RetryBudget: retryBudget(r.Bounds), OnLimit: r.observer.limitChanged, OnCrashFinding: r.observer.crashFound}
 	r.registrar = &registrar.Registrar{Self: r.self, Peers: r.messenger, Events: r.events}
 	r.follower = &follower{router: r, announcedNewer: make(chan struct{}, 1)}
 	r.restored = make(chan struct{}, 1)
