--- /dev/null
+++ b/admitter/crash_test.go
@@ -0,0 +1,190 @@
+package admitter
+
+import (
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/forwarder"
+	"pimentorelay.example/pimento/quarantiner"
+	"pimentorelay.example/pimento/scheduler"
+)
+
+const (
+	// maxLateRetries is how many retries of a request may get a permit later than
+	// crashNoticeTime after it has crashed the third upstream.
+	maxLateRetries  = 3
+	crashNoticeTime = 3 * time.Second
+)
+
+// finish ends the request of a permit.
+func finish(p forwarder.Permit, kind scheduler.ResultKind) {
+	p.(*permit).result = scheduler.Result{Kind: kind}
+	p.Done(nil)
+}
+
+// setDown makes a process reachable or not.
+func (n *network) setDown(id pimento.ProcessID, down bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.down[id] = down
+}
+
+// crashOnce sends the request through a process to an upstream that it crashes, and
+// reports whether it got a permit.
+func (n *network) crashOnce(t *testing.T, by pimento.ProcessID, start int, end func(forwarder.Permit)) bool {
+	t.Helper()
+	p, err := n.acquire(t, by)
+	if err != nil {
+		return false
+	}
+	end(p)
+	n.setState(time.Unix(int64(start), 0))
+	return true
+}
+
+// TestCrashWhoseReportIsLostIsNotCounted guards against a request that is sent on and
+// on: the results of its crashes do not reach the dispatcher, or are no result.
+func TestCrashWhoseReportIsLostIsNotCounted(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(n *network, p forwarder.Permit)
+	}{
+		{"ReportArrives", func(_ *network, p forwarder.Permit) { finish(p, scheduler.ResultBroken) }},
+		{"ReportLost", func(n *network, p forwarder.Permit) {
+			n.setDown("a", true)
+			finish(p, scheduler.ResultBroken)
+			n.setDown("a", false)
+		}},
+		{"LinkCloses", func(n *network, _ forwarder.Permit) { n.nodes["a"].HandleClosed(n.links["b"]) }},
+		{"TimesOut", func(_ *network, p forwarder.Permit) { finish(p, scheduler.ResultTimeout) }},
+		{"CallerLeaves", func(_ *network, p forwarder.Permit) { finish(p, scheduler.ResultCanceled) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			n := newNetwork(t)
+			start := 1
+			crash := func() bool {
+				start++
+				time.Sleep(dispatcherSkipTime + 50*time.Millisecond) // ask "a" again
+				return n.crashOnce(t, "b", start, func(p forwarder.Permit) { c.end(n, p) })
+			}
+			for range quarantiner.CrashLimit {
+				if !crash() {
+					t.Fatal("refused before the third crash")
+				}
+			}
+			time.Sleep(crashNoticeTime)
+			late := 0
+			for range maxLateRetries + 1 {
+				if crash() {
+					late++
+				}
+			}
+			if late > maxLateRetries {
+				t.Errorf("%d of %d retries later than 3 s after the third crash got a permit; allowed 3", late, maxLateRetries+1)
+			}
+		})
+	}
+}
+
+// TestFailureOfAnotherUpstreamForgetsCrashes guards against a request that is sent on and
+// on, since an upstream that fails all requests answers one of its copies now and then.
+func TestFailureOfAnotherUpstreamForgetsCrashes(t *testing.T) {
+	t.Parallel()
+	n := newNetwork(t)
+	start, crashes, late := 1, 0, 0
+	var thirdAt time.Time
+	for i := 0; i < 12 && late <= maxLateRetries; i++ {
+		kind := scheduler.ResultBroken
+		if i%3 == 2 {
+			kind = scheduler.ResultFailed
+		}
+		start++
+		if !n.crashOnce(t, "b", start, func(p forwarder.Permit) { finish(p, kind) }) {
+			break
+		}
+		if kind == scheduler.ResultFailed {
+			continue
+		}
+		switch crashes++; {
+		case crashes == quarantiner.CrashLimit:
+			thirdAt = time.Now()
+			time.Sleep(crashNoticeTime + 100*time.Millisecond)
+		case crashes > quarantiner.CrashLimit && time.Since(thirdAt) > crashNoticeTime:
+			late++
+		}
+	}
+	if late > maxLateRetries {
+		t.Errorf("%d retries later than 3 s after the third crash got a permit; allowed 3", late)
+	}
+}
+
+// TestWaitingRequestIsSentAfterThreeCrashes guards against copies of a request that got
+// into the queue before its third crash and are sent long after it.
+func TestWaitingRequestIsSentAfterThreeCrashes(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	n := newNetwork(t)
+	a := n.nodes["a"]
+	var busy []forwarder.Permit
+	for range slots {
+		p, _ := n.mustAcquire(t, "b")
+		busy = append(busy, p)
+	}
+	var mu sync.Mutex
+	late, refused := 0, 0
+	var copies sync.WaitGroup
+	for range maxLateRetries + 1 {
+		copies.Go(func() {
+			p, err := n.acquire(t, "c")
+			mu.Lock()
+			defer mu.Unlock()
+			var out *pimento.OutcomeError
+			if err != nil {
+				if errors.As(err, &out) && out.Reason == pimento.ReasonQuarantined {
+					refused++
+				}
+				return
+			}
+			late++
+			finish(p, scheduler.ResultCanceled)
+		})
+	}
+	for a.Waiting() < maxLateRetries+1 {
+		time.Sleep(time.Millisecond)
+	}
+	a.Block([]quarantiner.Fingerprint{7})
+	time.Sleep(crashNoticeTime + 100*time.Millisecond)
+	for _, p := range busy {
+		finish(p, scheduler.ResultAnswered)
+	}
+	copies.Wait()
+	if late > maxLateRetries {
+		t.Errorf("%d copies that waited got a permit later than 3 s after the third crash; allowed 3", late)
+	}
+	is.Equal(late+refused, maxLateRetries+1)
+}
+
+// TestResetsRefuseNobody guards against the refusal of a request whose connections are
+// reset at an upstream that then answers others.
+func TestResetsRefuseNobody(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(t)
+	other := request(testTimeout)
+	other.Fingerprint = 8
+	for range 12 {
+		p, err := n.acquire(t, "b")
+		is.NoErr(err)
+		finish(p, scheduler.ResultBroken)
+		p, err = n.nodes["c"].Acquire(t.Context(), other, forwarder.AttemptState{Number: 1})
+		is.NoErr(err)
+		finish(p, scheduler.ResultAnswered)
+	}
+	_, err := n.acquire(t, "b")
+	is.NoErr(err)
+}
--- a/leader/cluster_test.go
+++ b/leader/cluster_test.go
@@ -17,6 +17,7 @@
 	"pimentorelay.example/pimento/keeper"
 	"pimentorelay.example/pimento/limiter"
 	"pimentorelay.example/pimento/messenger"
+	"pimentorelay.example/pimento/quarantiner"
 	"pimentorelay.example/pimento/recorder"
 )
 
@@ -61,7 +62,8 @@
 	versions       messenger.Versions
 	upstreamStates map[pimento.UpstreamName]pimento.State // as received from the leader
 	limits         limiter.Book                           // as received from the leader
-	roster         *messenger.Roster                      // as received from the leader
+	quarantine     *quarantiner.Machine
+	roster         *messenger.Roster // as received from the leader
 }
 
 // upstream is a simulated upstream with its grants.
@@ -116,7 +118,7 @@
 func (cl *cluster) startProcess(host pimento.HostName) {
 	cl.mu.Lock()
 	cl.startCount++
-	p := &process{cluster: cl, self: pimento.Process{
+	p := &process{cluster: cl, quarantine: quarantiner.New(), self: pimento.Process{
 		ID: pimento.ProcessID(fmt.Sprintf("%s-%d", host, cl.startCount)), Host: host, Domain: pimento.DomainName(host[1:]), Started: time.Now(),
 	}}
 	p.self.Strength = 1
@@ -506,6 +508,9 @@
 	defer p.mu.Unlock()
 	p.versions = s.Versions
 	p.limits.Merge(time.Now(), s.Limits)
+	for _, f := range s.Blocked {
+		p.quarantine.Block(time.Now(), f)
+	}
 	if s.Roster != nil {
 		p.roster = s.Roster
 	}
@@ -574,13 +579,16 @@
 func (p *process) Report() messenger.Report {
 	base := int(time.Since(p.cluster.started)/(4*time.Second)) * 9001
 	var out []messenger.KeyLoad
+	p.mu.Lock()
+	crashes := p.quarantine.CrashReports()
+	p.mu.Unlock()
 	if p.cluster.hasNoLoad() {
-		return messenger.Report{Limits: p.cluster.takeLimitReports(p.self.Host)}
+		return messenger.Report{Limits: p.cluster.takeLimitReports(p.self.Host), CrashReports: crashes}
 	}
 	for i := range 8 {
 		out = append(out, messenger.KeyLoad{Service: simService, Key: pimento.Key((base + i*7) % 65536), Count: 2})
 	}
-	return messenger.Report{Loads: out}
+	return messenger.Report{Loads: out, CrashReports: crashes}
 }
 
 // takeLimitReports returns what a host reports of limits, once.
--- a/upstreamfaker/server.go
+++ b/upstreamfaker/server.go
@@ -60,7 +60,10 @@
 	ExtraNext int          // number of answers that are sent twice
 	CrashOn   string       // a request whose path or body contains this text crashes the server
 	RestartIn pimento.Span // how long the server stays down after a crash
-	LateGrant pimento.Span // grants get no answer and take effect after this delay
+	// SilentDown means that a server that is down answers nothing, in place of closing
+	// connections at once.
+	SilentDown bool
+	LateGrant  pimento.Span // grants get no answer and take effect after this delay
 	// Limit holds the limits that answers name, one after the other; an empty text: none.
 	Limit []string
 	Hang  bool // requests that do not fit into the queue are never answered
@@ -217,6 +220,7 @@
 func (s *Server) requireUp(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.waitWhileFrozen()
+		s.waitWhileSilent(r.Context())
 		if connStart, ok := r.Context().Value(connStartKey{}).(time.Time); s.isDown() || ok && !connStart.Equal(s.Report().Started) {
 			panic(http.ErrAbortHandler)
 		}
@@ -224,6 +228,20 @@
 	}
 }
 
+// waitWhileSilent blocks a call to a server that is down and silent until it is up or
+// the call ends.
+func (s *Server) waitWhileSilent(ctx context.Context) {
+	for ctx.Err() == nil && s.isSilent() {
+		time.Sleep(freezePollInterval)
+	}
+}
+
+func (s *Server) isSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.SilentDown && (s.faults.Down || time.Now().Before(s.downUntil))
+}
+
 func (s *Server) isDown() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
