Reproduce crashes that are forgotten with the processes that know them (red)

What callers saw: none of this in the record; from reading, a dispatcher that ends takes the unconfirmed breaks with it, and a later leader does not tell a restarted process what is refused. Change: two more cases of the red tests, listed.

--- a/admitter/crash_test.go
+++ b/admitter/crash_test.go
@@ -34,6 +34,14 @@
 	n.down[id] = down
 }
 
+// forgetCrashes makes a process forget all crashes, as its restart would.
+func (n *network) forgetCrashes(id pimento.ProcessID) {
+	a := n.nodes[id]
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.quarantine = quarantiner.New()
+}
+
 // crashOnce sends the request through a process to an upstream that it crashes, and
 // reports whether it got a permit.
 func (n *network) crashOnce(t *testing.T, by pimento.ProcessID, start int, end func(forwarder.Permit)) bool {
@@ -60,6 +68,10 @@
 			finish(p, scheduler.ResultBroken)
 			n.setDown("a", false)
 		}},
+		{"DispatcherLost", func(n *network, p forwarder.Permit) {
+			finish(p, scheduler.ResultBroken)
+			n.forgetCrashes("a")
+		}},
 		{"LinkCloses", func(n *network, _ forwarder.Permit) { n.nodes["a"].HandleClosed(n.links["b"]) }},
 		{"TimesOut", func(_ *network, p forwarder.Permit) { finish(p, scheduler.ResultTimeout) }},
 		{"CallerLeaves", func(_ *network, p forwarder.Permit) { finish(p, scheduler.ResultCanceled) }},
--- a/leader/crash_test.go
+++ b/leader/crash_test.go
@@ -42,11 +42,16 @@
 		cl.cutLink(from, to)
 		cl.runAfter(300*time.Millisecond, func() { cl.healLink(from, to) })
 	}},
+	{name: "ProcessesRestartAgain", lasts: crashTime, after: func(cl *cluster, crashes int) {
+		if crashes%quarantiner.CrashLimit == 0 {
+			cl.restartProcesses()
+		}
+	}},
 	{name: "RefusalEnds", lasts: 150 * time.Second},
 }
 
 // crashTime is how long a request is sent that is refused all the while once it is.
-const crashTime = 50 * time.Second
+const crashTime = 65 * time.Second
 
 // healLink ends what cutLink began.
 func (cl *cluster) healLink(from, to string) {
@@ -55,6 +60,15 @@
 	delete(cl.cutLinks, [2]string{from, to})
 }
 
+// restartProcesses restarts the processes one after the other, the leader too.
+func (cl *cluster) restartProcesses() {
+	for _, h := range cl.hosts {
+		cl.killProcess(h)
+		cl.startProcess(h)
+		time.Sleep(2 * time.Second)
+	}
+}
+
 // processOf returns the process of a host, nil if it has none.
 func (cl *cluster) processOf(host pimento.HostName) *process {
 	cl.mu.Lock()
