Keep what answers said of coldness when a state arrives

What callers saw: nothing yet; found by review. A cold upstream could get its full load at once and crash.

Any state replaces the time until which an upstream counts as cold by that of its entry, which does not know yet what the upstream's answers have said.

Change: for the same run the later time counts.

--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -159,7 +159,7 @@
 				old.health = health{}
 			}
 			old.Upstream = u
-			old.cold.until = u.WarmAt
+			old.cold.until = later(old.cold.until, u.WarmAt)
 			continue
 		}
 		x := &upstream{Upstream: u, running: make(map[uint64]*activeRequest)}
--- a/scheduler/recovery_test.go
+++ b/scheduler/recovery_test.go
@@ -113,3 +113,33 @@
 		})
 	}
 }
+
+// TestColdnessOutlivesASnapshot guards against an upstream that said it is cold and gets
+// its full load as soon as any state arrives, since its entry does not say so yet.
+func TestColdnessOutlivesASnapshot(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	list := []Upstream{{Usable: true, Server: pimento.Server{Name: "u", Slots: 50, WarmAt: now.Add(-time.Minute)}}}
+	p := New(Config{ColdRate: 3})
+	p.SetUpstreams(list)
+	id := uint64(0)
+	permits := func(n int) (permitted int) {
+		for range n {
+			id++
+			for _, d := range p.Offer(now, Ticket{ID: id, Arrived: now, GoalAt: now.Add(time.Second), Deadline: now.Add(5 * time.Second)}) {
+				if d.Refusal == nil {
+					permitted++
+				}
+			}
+		}
+		return permitted
+	}
+	is.Equal(permits(1), 1)
+	p.Done(now, id, Result{Kind: ResultRefused, ColdFor: 4 * time.Second})
+	p.SetUpstreams(list) // as with any state that arrives
+	now = now.Add(100 * time.Millisecond)
+	is.True(permits(40) <= maxColdRunning)
+	list[0].Started = now // the next run says for itself whether it is cold
+	p.SetUpstreams(list)
+	is.True(permits(40) > maxColdRunning)
+}
