Let a late Join end no later process of its host

What callers saw: nothing yet; found by review. A process could be without work until its next start, and be left out when majorities are counted.

Cause: a Join that was held up on its way replaced a later process of the same host, which then counted as ended for good.

Evidence: TestLateJoinEndsNoLaterProcess failed before.

Change: a Join of a process that started before the registered one is ignored.

Result: the test passes, and the others about joins and stale readings.

--- a/leader/heartbeat.go
+++ b/leader/heartbeat.go
@@ -219,13 +219,15 @@
 // heartbeats.
 const joinRetryInterval = 300 * time.Millisecond
 
-// HandleJoin adds a process that announces itself, if this process leads.
+// HandleJoin adds a process that announces itself, if this process leads. A Join may
+// arrive late, after a later process of its host has registered.
 func (l *Leader) HandleJoin(p pimento.Process) {
 	l.inbox <- func() {
-		if l.term == nil || p.ID == l.Self.ID {
+		known := l.registered[p.Host]
+		if l.term == nil || p.ID == l.Self.ID || p.Started.Before(known.process.Started) {
 			return
 		}
-		l.registered[p.Host] = registeredProcess{process: p, revision: l.registered[p.Host].revision}
+		l.registered[p.Host] = registeredProcess{process: p, revision: known.revision}
 		l.updateMembers(timekeeper.Now())
 	}
 }
