--- a/connector/withdraw_test.go
+++ b/connector/withdraw_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"os"
@@ -16,6 +17,7 @@
 	"pimentorelay.example/pimento"
 	"pimentorelay.example/pimento/linkfaker"
 	"pimentorelay.example/pimento/platform"
+	"pimentorelay.example/pimento/timekeeper"
 )
 
 // soon is a time within which a call is given up.
@@ -210,6 +212,23 @@
 	}
 }
 
+// TestGrantAfterItsTimeIsNotSent guards against a grant that is written once the
+// authority behind it has ended, since the process was stalled or had to dial.
+func TestGrantAfterItsTimeIsNotSent(t *testing.T) {
+	is := is.New(t)
+	s, l, ended := newCutServer(t)
+	c := &Client{Server: pimento.Server{Name: "i-1", Address: l.Address()}, Wire: platform.Wire{}}
+	_, _, err := doRequest(c, "first", "GET", "")
+	is.NoErr(err)
+	g := pimento.KeyGrant{Range: pimento.KeyRange{From: 1, To: 9}, Fence: 46, Hold: time.Second, SendBefore: timekeeper.Now()}
+	var unreachable *pimento.UnreachableError
+	is.True(errors.As(c.Grant(t.Context(), g), &unreachable))
+	is.True(unreachable.Unsent)
+	c.Close()
+	<-ended
+	is.Equal(s.received(), []string{"GET /a/b?c=d%20e first"}) // nothing after the first
+}
+
 // TestGivenUpCallNamesItsConnection guards against logs that cannot tell a call that
 // may still arrive over a kept connection from one that was never sent.
 func TestGivenUpCallNamesItsConnection(t *testing.T) {
