Let a configuration of unknown age refuse and route nothing

A Forwarder now asks a Currency whether every change that had to be in force when the request arrived is in it. If not, the request waits for news (with a route for half of the time that it has left, any other for 150 ms) and is decided again. If the store does not answer this process, a request with a route goes on by what is known; one without, or without the key that its service needs, gets 503 StaleManifest with a Retry-After instead of 404 or 400. Nothing uses it yet.

Without a Currency nothing changes.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -81,6 +81,9 @@
 	// View returns the configuration in force, or nil if none is known yet.
 	View       func() *View
 	Dispatcher Dispatcher
+	// Currency knows how old the configuration in force may be; nil: it is taken to be
+	// the newest.
+	Currency Currency
 	// Records keeps the records of requests with a caller's ID; nil: none are kept.
 	Records Records
 	// RequireKey refuses requests without a key for keyed services.
@@ -109,16 +112,12 @@
 	if arrived.IsZero() {
 		arrived = trace.StartedAt
 	}
-	view := f.View()
-	if view == nil {
-		refusal := pimento.NotRun(pimento.ReasonNoManifest, "no manifest is known here yet")
-		refusal.RetryAfter = manifestRetryAfter
-		return pimento.Answer{}, refusal
+	decided, err := f.decide(ctx, r, arrived, trace)
+	if err != nil {
+		return pimento.Answer{}, err
 	}
-	trace.Manifest = view.Manifest.Version
-	path, _, _ := strings.Cut(r.Path, "?")
-	route, ok := view.Routes.Match(r.Host, path)
-	if !ok {
+	view, route := decided.view, decided.route
+	if route == nil {
 		return pimento.Answer{}, pimento.NotRun(pimento.ReasonNoRoute, "no route for this host and path")
 	}
 	r.Route = route
--- a/request.go
+++ b/request.go
@@ -35,6 +35,7 @@
 	ReasonBodyCut        Reason = "BodyCut"
 	ReasonWrongAnswer    Reason = "WrongAnswer"
 	ReasonNoManifest     Reason = "NoManifest"
+	ReasonStaleManifest  Reason = "StaleManifest"
 	ReasonHeaderTooLarge Reason = "HeaderTooLarge"
 	ReasonBodyTooLarge   Reason = "BodyTooLarge"
 	ReasonCallerSlow     Reason = "CallerSlow"
