Let limits of unknown age refuse nothing for good

If Acceptor.IsCurrent says that the limits may be too old, these two are answered 503 StaleManifest with a Retry-After of 0.5 s. They do not wait: the connection ends as before. A body without a length that grows above the limit has no refusal of its own and is unchanged; so are 400 and 408, which no manifest decides.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -46,6 +46,9 @@
 	// bodyPrefixSize is the maximum number of bytes of a body that are read before
 	// the request runs.
 	bodyPrefixSize = 64 << 10
+	// limitsRetryAfter is the time after which callers should retry while the limits may
+	// be too old.
+	limitsRetryAfter = 500 * time.Millisecond
 	// noLimit is a limit that no message reaches, in bytes.
 	noLimit = 1 << 62
 	// writeTimeout bounds the writing of an answer, so that a caller that does not
@@ -66,6 +69,10 @@
 	Wire    pimento.CallerWire
 	// Limits returns what callers may send now.
 	Limits func() pimento.Limits
+	// IsCurrent reports whether Limits contain every change that had to be in force at a
+	// moment; nil: always. Requests above limits that may be too old are not refused for
+	// good.
+	IsCurrent func(at time.Time) bool
 	// OnRefused is called for requests that are refused before they reach the
 	// Handler; it may be nil.
 	OnRefused func(r *pimento.Request, outcome *pimento.OutcomeError)
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,7 +25,8 @@
 // "/chunks" without a length, and any other with the path, the body unread.
 type handler struct {
 	started  chan string
-	canceled chan error // errors of the contexts of "/wait" requests
+	canceled chan error  // errors of the contexts of "/wait" requests
+	stale    atomic.Bool // the limits may be too old
 }
 
 // Handle implements Handler.
@@ -91,6 +93,7 @@
 	m.Defaults()
 	h := &handler{started: make(chan string, 100), canceled: make(chan error, 100)}
 	a := &Acceptor{Handler: h, Wire: platform.Wire{}, Limits: func() pimento.Limits { return m.Limits }}
+	a.IsCurrent = func(time.Time) bool { return !h.stale.Load() }
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -210,6 +213,35 @@
 	}
 }
 
+// TestOldLimitsRefuseNothingForGood guards against 413 and 431 by limits that operators
+// may have raised since.
+func TestOldLimitsRefuseNothingForGood(t *testing.T) {
+	long := strings.Repeat("x", 10000)
+	for _, c := range []struct {
+		name, sent string
+		status     int
+	}{
+		{"header too large", "GET / HTTP/1.1\r\nHost: x\r\nX: " + long + "\r\n\r\n", 503},
+		{"body too large", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5000\r\n\r\n" + long[:5000], 503},
+		{"not HTTP", "hello\r\n\r\n", 400},
+		{"within the limits", getRequest("/x"), 200},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, h, dial := startAcceptor(t, pimento.Limits{HeaderBytes: 2000, BodyBytes: 1000})
+			h.stale.Store(true)
+			conn := dial()
+			io.WriteString(conn, c.sent)
+			res, _, err := readAnswer(t, bufio.NewReader(conn), "GET")
+			is.NoErr(err)
+			is.Equal(res.StatusCode, c.status)
+			if c.status == 503 {
+				is.Equal(res.Header.Get("Retry-After"), "0.500")
+			}
+		})
+	}
+}
+
 // TestBodyNotParsedAsRequest checks that a body that contains a request is not
 // parsed as one, which would allow request smuggling.
 func TestBodyNotParsedAsRequest(t *testing.T) {
--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -92,12 +92,29 @@
 
 // refuse ends an exchange before it reaches the handler.
 func (x *exchange) refuse(outcome *pimento.OutcomeError) {
+	if x.mayFitLater(outcome) {
+		outcome = pimento.NotRun(pimento.ReasonStaleManifest, outcome.Detail+", by a manifest that may be too old")
+		outcome.RetryAfter = limitsRetryAfter
+	}
 	x.outcome = outcome
 	if x.conn.acceptor.OnRefused != nil {
 		x.conn.acceptor.OnRefused(x.request, outcome)
 	}
 }
 
+// mayFitLater reports whether a request is refused by limits that may be too old.
+func (x *exchange) mayFitLater(outcome *pimento.OutcomeError) bool {
+	if outcome.Reason != pimento.ReasonHeaderTooLarge && outcome.Reason != pimento.ReasonBodyTooLarge {
+		return false
+	}
+	at := x.request.ArrivedAt
+	if at.IsZero() {
+		at = time.Now()
+	}
+	isCurrent := x.conn.acceptor.IsCurrent
+	return isCurrent != nil && !isCurrent(at)
+}
+
 // sendContinue sends a 100 Continue once the earlier answers have been written.
 func (x *exchange) sendContinue() error {
 	select {
