Know when the manifest in force was certainly the newest

Requests also went to former services and on dropped routes.

Cause: a process took "the leader announced no newer version" for "this is the newest", and the leader took "my watch brought nothing" for the same.

Change: only the beginning of an answered read of the whole manifest says that nothing newer was acknowledged before it. - The leader makes one twice a second. A member's reply to a heartbeat bears a stamp of its own clock and process; the next heartbeat echoes it with the time from its arrival to the beginning of the leader's last read, and the version that it showed. Delays only make the manifest look older. Nothing is said before the first read of a term, and nothing of a former era of the store counts. - A read that showed an older version than the one in force here confirms that one as well: nothing newer was acknowledged before it. So does one that shows an invalid manifest. - A request that meets a manifest older than half of Bounds.Apply starts a read of its own, one at a time in a process, 0.45 s for the first answer (more with a store that is known to be slow), a second one 0.1 s later, then a backoff of up to 1 s. One that meets a manifest older than all of it waits for that read (package forwarder). - 2016 is only said of a version that a read in this term has shown. - 6002 and 2016 bear Confirmed; gauge relay_manifest_age.

The assembler's TestStaleManifestRefusesForGood is replaced, since its stalled source answered a read at once with what was stored long before. The platform's store does not: a read that is answered includes every write acknowledged before it began, and the new design rests on that. Now the leader's calls are silent, or its watch hears nothing, or its answers come 0.9 s late. The routes and bounds checked are the same, and half of the requests on the added route must now be served.

--- a/assembler/stale_manifest_test.go
+++ b/assembler/stale_manifest_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -22,52 +21,89 @@
 	staleWatch = 2 * time.Second
 )
 
-// stallingSource is a source whose watch for a manifest can be stalled: it then hears
-// nothing, and a read shows what was read last.
+// stall is what happens to the manifests that a process reads.
+type stall string
+
+const (
+	stallNone   stall = ""
+	stallSilent stall = "the leader's calls are silent"
+	stallDeaf   stall = "the leader's watch hears nothing"
+	// stallSlow lets each call hear what was stored when it began, but late.
+	stallSlow stall = "the leader's answers come late"
+)
+
+// slowAnswer is how late an answer is that is slow.
+const slowAnswer = 900 * time.Millisecond
+
+// stallingSource is a source whose reading of manifests can be stalled. A read that is
+// answered shows what was stored when it began, like one of the platform's store.
 type stallingSource struct {
 	pimento.Source
-	stalled atomic.Bool
+	stalled atomic.Pointer[stall]
+}
 
-	mu       sync.Mutex
-	value    []byte
-	revision pimento.Revision
+// kind returns what happens to calls at present.
+func (s *stallingSource) kind() stall {
+	if k := s.stalled.Load(); k != nil {
+		return *k
+	}
+	return stallNone
 }
 
 // Manifest implements pimento.Source.
 func (s *stallingSource) Manifest(ctx context.Context, after pimento.Revision, wait time.Duration) ([]byte, pimento.Revision, error) {
-	if s.stalled.Load() {
-		return s.old(ctx, after, wait)
+	kind := s.kind()
+	if kind == stallSilent || kind == stallDeaf && !after.IsZero() {
+		return s.silent(ctx, after, wait)
 	}
 	value, revision, err := s.Source.Manifest(ctx, after, wait)
-	if s.stalled.Load() { // the watch began before
-		return s.old(ctx, after, 0)
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if value != nil {
-		s.value, s.revision = value, revision
+	switch s.kind() {
+	case stallSilent:
+		return s.silent(ctx, after, 0) // the call began before
+	case stallDeaf:
+		if !after.IsZero() {
+			return s.silent(ctx, after, 0)
+		}
+	case stallSlow:
+		if err := pause(ctx, slowAnswer); err != nil {
+			return nil, after, err
+		}
 	}
 	return value, revision, err
 }
 
-// old answers without news.
-func (s *stallingSource) old(ctx context.Context, after pimento.Revision, wait time.Duration) ([]byte, pimento.Revision, error) {
-	if !after.IsZero() {
-		select {
-		case <-time.After(wait):
-		case <-ctx.Done():
-		}
-		return nil, after, nil
+// silent returns no news: a watch ends without any, and a read gets no answer.
+func (s *stallingSource) silent(ctx context.Context, after pimento.Revision, wait time.Duration) ([]byte, pimento.Revision, error) {
+	if after.IsZero() {
+		<-ctx.Done()
+		return nil, after, &pimento.UnreachableError{Target: "store", Cause: ctx.Err()}
+	}
+	return nil, after, pause(ctx, wait)
+}
+
+// pause waits for d, and returns an error if ctx ends first.
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return &pimento.UnreachableError{Target: "store", Cause: ctx.Err()}
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.value, s.revision, nil
 }
 
 // TestStaleManifestRefusesForGood guards against processes that refuse added routes
-// for good, and serve dropped ones, because the watch of their leader is stalled while
+// for good, and serve dropped ones, because the reading of their leader is stalled while
 // its heartbeats arrive. All others reach the store.
 func TestStaleManifestRefusesForGood(t *testing.T) {
+	for _, kind := range []stall{stallSilent, stallDeaf, stallSlow} {
+		t.Run(string(kind), func(t *testing.T) { checkStalledLeader(t, kind) })
+	}
+}
+
+// checkStalledLeader checks the routing of all other processes while the leader's
+// reading is stalled.
+func checkStalledLeader(t *testing.T, kind stall) {
+	t.Helper()
 	is := is.New(t)
 	var sources []*stallingSource
 	d := &assembler.Deployment{Config: smallConfig(t), Entries: 5, Work: time.Millisecond}
@@ -81,7 +117,7 @@
 	applyConfig(t, d)
 	leader := leadingEntry(d)
 	is.True(leader >= 0)
-	sources[leader].stalled.Store(true)
+	sources[leader].stalled.Store(&kind)
 
 	last := len(d.Config.Categories) - 1
 	d.Config.Categories[last] = pimento.Category{Name: "added", Service: "partsdesk"}
@@ -89,21 +125,28 @@
 	is.NoErr(err)
 	time.Sleep(manifestTarget)
 
-	sent, refused, served := 0, 0, 0
+	sent, refused, served, added := 0, 0, 0, 0
 	for start := time.Now(); time.Since(start) < staleWatch; time.Sleep(100 * time.Millisecond) {
 		for i := range sources {
 			if i == leader {
 				continue
 			}
 			sent++
-			if statusOf(t, d.URL(i)+"/added/x") == http.StatusNotFound {
+			switch statusOf(t, d.URL(i)+"/added/x") {
+			case http.StatusNotFound:
 				refused++
+			case http.StatusOK:
+				added++
 			}
 			if statusOf(t, d.URL(i)+"/dropped/x") == http.StatusOK {
 				served++
 			}
 		}
 	}
+	t.Logf("of %d requests on an added route %d were served", sent, added)
+	if added < sent/2 {
+		t.Errorf("of %d requests on an added route only %d were served", sent, added)
+	}
 	if leadingEntry(d) != leader {
 		t.Log("the leader has changed")
 	}
--- a/leader/cluster_test.go
+++ b/leader/cluster_test.go
@@ -575,6 +575,12 @@
 // ManifestReadAt implements Member.
 func (simMember) ManifestReadAt() time.Time { return time.Time{} }
 
+// ManifestRead implements Member.
+func (simMember) ManifestRead() ManifestRead { return ManifestRead{} }
+
+// ManifestConfirmed implements Member.
+func (simMember) ManifestConfirmed(ManifestRead) {}
+
 // Announced implements Member.
 func (simMember) Announced(messenger.Versions) {}
 
--- a/leader/heartbeat.go
+++ b/leader/heartbeat.go
@@ -37,6 +37,8 @@
 	pushing          bool
 	unconfirmed      bool // a state got no reply, and no heartbeat has since
 	lacksManifest    lack
+	stamp            *messenger.Stamp // last received
+	stampedAt        time.Time        // when it arrived
 }
 
 // lack says since when a member lacks the latest manifest and has made no progress.
@@ -96,18 +98,20 @@
 // sendHeartbeat sends one heartbeat and handles its reply.
 func (l *Leader) sendHeartbeat(m *member) {
 	t := l.term
-	q := &messenger.Heartbeat{Term: l.elector.Term(), StoreLost: !l.StoreReachable(), Versions: t.versions, Era: l.storeEra.Load()}
+	q := &messenger.Heartbeat{Term: l.elector.Term(), StoreLost: !l.StoreReachable(), Versions: t.versions, Era: l.storeEra.Load(), Confirmation: l.confirmation(m)}
 	go func() {
 		ctx, cancel := context.WithTimeout(t.ctx, heartbeatTimeout)
 		defer cancel()
 		sentAt := timekeeper.Now()
 		reply, err := l.Peers.Call(ctx, m.process, &messenger.Message{Heartbeat: q})
+		arrivedAt := timekeeper.Now()
 		l.postTerm(t, func() {
 			m.heartbeatPending = false
 			if err != nil || reply.HeartbeatReply == nil {
 				m.missedHeartbeats++
 				return
 			}
+			m.noteStamp(arrivedAt, reply.HeartbeatReply.Stamp)
 			l.handleHeartbeatReply(timekeeper.Now(), sentAt, m, reply.HeartbeatReply)
 		})
 	}()
@@ -167,6 +171,7 @@
 	l.inbox <- func() {
 		now := timekeeper.Now()
 		l.ObserveEra(q.Era)
+		l.handleConfirmation(q.Confirmation)
 		confirmed := l.elector.HandleHeartbeat(now, elector.Heartbeat{From: from, Term: q.Term, StoreLost: q.StoreLost})
 		if confirmed {
 			l.Member.Announced(q.Versions)
@@ -174,6 +179,7 @@
 		answer := &messenger.HeartbeatReply{
 			Epoch: l.elector.Term().Epoch, Confirmed: confirmed, Leaving: l.leaving.Load(),
 			HasStore: l.StoreReachable(), Versions: l.Member.Versions(),
+			Stamp: l.stamp(),
 		}
 		if confirmed {
 			answer.Report = l.Member.Report()
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -82,6 +82,12 @@
 	// ManifestReadAt returns when the last answered read of the manifest in the store
 	// by this process began, zero if there was none.
 	ManifestReadAt() time.Time
+	// ManifestRead returns the last answered read of the whole manifest in the store
+	// by this process.
+	ManifestRead() ManifestRead
+	// ManifestConfirmed is called with a read by the leader, dated by the clock of this
+	// process.
+	ManifestConfirmed(r ManifestRead)
 	// Report returns the measurements since the last report.
 	Report() messenger.Report
 	// Versions returns the versions of the state that this process has.
@@ -113,6 +119,7 @@
 	OnEra func(era, former uint64)
 
 	inbox           chan func()
+	stampID         uint64 // in the stamps of this process
 	elector         *elector.Machine
 	keeper          *keeper.Machine
 	leaving         atomic.Bool
@@ -147,8 +154,9 @@
 
 // term is the state of a term that this process leads.
 type term struct {
-	ctx    context.Context
-	cancel context.CancelFunc
+	ctx     context.Context
+	cancel  context.CancelFunc
+	beganAt time.Time
 
 	members      map[pimento.ProcessID]*member
 	upstreams    registry
@@ -207,6 +215,7 @@
 // Init prepares the Leader for messages. Call it before Run.
 func (l *Leader) Init() {
 	l.inbox = make(chan func(), inboxSize)
+	l.stampID = rand.Uint64()
 }
 
 // BeginShutdown announces that this process is shutting down: it campaigns no
@@ -327,6 +336,7 @@
 		listBackoff: timekeeper.Backoff{Initial: minListBackoff, Max: maxListBackoff},
 	}
 	t.ctx, t.cancel = context.WithCancel(ctx)
+	t.beganAt = now
 	t.loads.init()
 	t.quarantine = quarantiner.New()
 	l.term = t
--- a/leader/push_test.go
+++ b/leader/push_test.go
@@ -100,8 +100,10 @@
 
 // fixedMember is the follower side of the leader's own process.
 type fixedMember struct {
-	version uint64
-	encoded []byte
+	version   uint64
+	encoded   []byte
+	read      ManifestRead   // its last one
+	confirmed []ManifestRead // those that it was told of
 }
 
 func (m *fixedMember) Apply(*messenger.State)   {}
@@ -109,9 +111,11 @@
 func (m *fixedMember) Process(pimento.ProcessID) (pimento.Process, bool) {
 	return pimento.Process{}, false
 }
-func (m *fixedMember) ManifestReadAt() time.Time    { return time.Time{} }
-func (m *fixedMember) Announced(messenger.Versions) {}
-func (m *fixedMember) Versions() messenger.Versions { return messenger.Versions{Manifest: m.version} }
+func (m *fixedMember) ManifestReadAt() time.Time        { return time.Time{} }
+func (m *fixedMember) ManifestRead() ManifestRead       { return m.read }
+func (m *fixedMember) ManifestConfirmed(r ManifestRead) { m.confirmed = append(m.confirmed, r) }
+func (m *fixedMember) Announced(messenger.Versions)     {}
+func (m *fixedMember) Versions() messenger.Versions     { return messenger.Versions{Manifest: m.version} }
 func (m *fixedMember) Manifest() (*pimento.Manifest, []byte) {
 	return &pimento.Manifest{Version: m.version}, m.encoded
 }
--- a/leader/spread.go
+++ b/leader/spread.go
@@ -28,8 +28,8 @@
 	reportedLate bool
 }
 
-// reportSpread reports once that all members that answer have the manifest, and
-// once which ones still lack it after manifestLateAfter.
+// reportSpread reports once that all members that answer have the manifest, if a read
+// of the store in this term has shown no newer one, and once which ones still lack it after manifestLateAfter.
 func (l *Leader) reportSpread(now time.Time) {
 	s := &l.term.spread
 	if v := l.term.versions.Manifest; v != s.version {
@@ -42,9 +42,12 @@
 	lacking, silent := l.membersLacking(now, s.version)
 	switch {
 	case len(lacking) == 0:
+		if !l.hasRead(s.version) {
+			return
+		}
 		s.complete = true
 		l.Events.Emit(pimento.EventManifestSpread, "Version", s.version, "Members", len(l.term.members), "Silent", silent, "Took", after.Round(time.Millisecond),
-			"Read", pimento.Age(now, l.Member.ManifestReadAt()))
+			"Read", pimento.Age(now, l.Member.ManifestReadAt()), "Confirmed", pimento.Age(now, l.Member.ManifestRead().BeganAt))
 	case after > manifestLateAfter && !s.reportedLate:
 		s.reportedLate = true
 		named := strings.Join(lacking[:min(len(lacking), maxNamedMembers)], "; ")
@@ -52,6 +55,13 @@
 	}
 }
 
+// hasRead reports whether a read of the manifest in this term has shown that a version
+// was the newest.
+func (l *Leader) hasRead(version uint64) bool {
+	read := l.Member.ManifestRead()
+	return read.Version == version && !read.BeganAt.Before(l.term.beganAt)
+}
+
 // membersLacking describes the members that answer and are not known to have a
 // version of the manifest, sorted, and counts those that do not answer.
 func (l *Leader) membersLacking(now time.Time, version uint64) (lacking []string, silent int) {
--- a/messenger/state.go
+++ b/messenger/state.go
@@ -15,6 +15,8 @@
 	StoreLost bool `json:"Blind"` // the leader cannot reach the store
 	Versions  Versions
 	Era       uint64 `cbor:",omitempty"` // of the store, as far as the leader knows
+	// Confirmation dates the leader's last read of the manifest; nil: it has none.
+	Confirmation *Confirmation `cbor:",omitempty"`
 }
 
 // Versions are the versions of the parts of the state; a higher one is newer. The
@@ -37,6 +39,7 @@
 	HasStore  bool // the store has answered it recently
 	Versions  Versions
 	Report    Report // since its last reply
+	Stamp     *Stamp `cbor:",omitempty"` // when the reply was made
 }
 
 // Report is what a process measured.
--- /dev/null
+++ b/router/confirmer.go
@@ -0,0 +1,258 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"pimentorelay.example/pimento/forwarder"
+	"pimentorelay.example/pimento/leader"
+	"pimentorelay.example/pimento/timekeeper"
+)
+
+const (
+	// confirmTimeout bounds a read that confirms the manifest, so that another one can
+	// follow on a new connection while requests wait. It grows with a slow store.
+	confirmTimeout = 450 * time.Millisecond
+	// maxConfirmTimeout is the longest such bound.
+	maxConfirmTimeout = 1200 * time.Millisecond
+	// confirmAttempts is how many reads in a row must fail until the store counts as
+	// one that does not answer this process.
+	confirmAttempts = 2
+	// confirmRetryPause is the pause between them.
+	confirmRetryPause = 100 * time.Millisecond
+	// minConfirmPause and maxConfirmPause bound the backoff after them.
+	minConfirmPause = 200 * time.Millisecond
+	maxConfirmPause = time.Second
+	// storeLostFor is how long after a failed read the store counts as one that does
+	// not answer: requests repeat the read sooner.
+	storeLostFor = 2500 * time.Millisecond
+	// leaderConfirmInterval is the time between the reads of a leader, whose age at the
+	// members is less than half of the time in which a manifest must be in force.
+	leaderConfirmInterval = 500 * time.Millisecond
+)
+
+// confirmer knows at which moment the manifest in force here was certainly the newest
+// one, and has it read in the store if a request meets one that is too old. Only the
+// beginning of an answered read of the whole manifest is such a moment: a watch that
+// hears nothing may have missed changes.
+type confirmer struct {
+	read  func(ctx context.Context) error // that calls confirm
+	apply func() time.Duration            // until a manifest must be in force
+
+	ctx    context.Context // of all reads, ends with the process
+	cancel context.CancelFunc
+
+	confirmedAt atomic.Int64 // Unix nanoseconds of timekeeper; zero: never
+
+	mu       sync.Mutex
+	reading  chan struct{} // closed at the end of the read in progress; nil: there is none
+	failures int           // in a row
+	failedAt time.Time
+	nextAt   time.Time // when to read again after failures
+	timeout  time.Duration
+	backoff  timekeeper.Backoff
+	lastRead leader.ManifestRead // by this process
+}
+
+func newConfirmer(read func(ctx context.Context) error, apply func() time.Duration) *confirmer {
+	c := &confirmer{
+		read: read, apply: apply, timeout: confirmTimeout,
+		backoff: timekeeper.Backoff{Initial: minConfirmPause, Max: maxConfirmPause},
+	}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	return c
+}
+
+// close ends the read in progress and waits for its end. No other one begins.
+func (c *confirmer) close() {
+	c.cancel()
+	c.mu.Lock()
+	reading := c.reading
+	c.mu.Unlock()
+	if reading != nil {
+		<-reading
+	}
+}
+
+// at returns when the manifest in force was last confirmed, zero if never.
+func (c *confirmer) at() time.Time {
+	if at := c.confirmedAt.Load(); at != 0 {
+		return time.Unix(0, at)
+	}
+	return time.Time{}
+}
+
+// confirm records that no newer manifest than the one in force was acknowledged before
+// a moment.
+func (c *confirmer) confirm(at time.Time) {
+	for known := c.confirmedAt.Load(); at.UnixNano() > known; known = c.confirmedAt.Load() {
+		if c.confirmedAt.CompareAndSwap(known, at.UnixNano()) {
+			return
+		}
+	}
+}
+
+// answered records an answered read of this process.
+func (c *confirmer) answered(r leader.ManifestRead) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.BeganAt.After(c.lastRead.BeganAt) {
+		c.lastRead = r
+	}
+	took := timekeeper.Now().Sub(r.BeganAt)
+	c.timeout = min(max(confirmTimeout, 2*took), maxConfirmTimeout)
+	c.failures, c.nextAt = 0, time.Time{}
+	c.backoff.Reset()
+	c.confirm(r.BeganAt)
+}
+
+// forget lets nothing of before count, since the store was restored from a copy.
+func (c *confirmer) forget() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastRead = leader.ManifestRead{}
+	c.confirmedAt.Store(0)
+}
+
+// latest returns the last answered read of this process.
+func (c *confirmer) latest() leader.ManifestRead {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastRead
+}
+
+// IsCurrent implements forwarder.Currency.
+func (c *confirmer) IsCurrent(arrived time.Time) bool {
+	apply := c.apply()
+	age := time.Duration(timekeeper.Now().UnixNano() - c.confirmedAt.Load())
+	if age > apply/2 {
+		c.start()
+	}
+	return age-time.Since(arrived) <= apply
+}
+
+// start begins a read, unless one is in progress or failed just before.
+func (c *confirmer) start() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reading != nil || c.ctx.Err() != nil || timekeeper.Now().Before(c.nextAt) {
+		return
+	}
+	c.reading = make(chan struct{})
+	go c.readAgain(c.reading)
+}
+
+// readAgain reads until the store answers, confirmAttempts times at most.
+func (c *confirmer) readAgain(done chan struct{}) {
+	for n := 1; !c.tryRead() && n < confirmAttempts && c.ctx.Err() == nil; n++ {
+		sleep(c.ctx, confirmRetryPause)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = nil
+	if c.failures > 0 {
+		c.nextAt = timekeeper.Now().Add(c.backoff.Pause())
+	}
+	close(done)
+}
+
+// tryRead makes one read and reports whether the store answered.
+func (c *confirmer) tryRead() bool {
+	c.mu.Lock()
+	timeout := c.timeout
+	if c.failures >= confirmAttempts { // nobody waits for it any more
+		timeout = maxConfirmTimeout
+	}
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(c.ctx, timeout)
+	defer cancel()
+	if err := c.read(ctx); err == nil {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failures++
+	c.failedAt = timekeeper.Now()
+	return false
+}
+
+// Await implements forwarder.Currency.
+func (c *confirmer) Await(ctx context.Context, arrived time.Time, wait time.Duration) (forwarder.Currentness, time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		if c.IsCurrent(arrived) {
+			return forwarder.Current, 0
+		}
+		p := c.progress()
+		if p.failures >= confirmAttempts {
+			return forwarder.StoreLost, p.retryAfter
+		}
+		select {
+		case <-p.reading:
+		case <-ctx.Done():
+			return forwarder.Undecided, p.retryAfter
+		case <-c.ctx.Done():
+			return forwarder.Undecided, p.retryAfter
+		case <-timer.C:
+			return c.endWait(arrived)
+		}
+	}
+}
+
+// endWait is Await at the end of the time to wait. The failure of one read suffices then
+// to say that the store does not answer.
+func (c *confirmer) endWait(arrived time.Time) (forwarder.Currentness, time.Duration) {
+	p := c.progress()
+	switch {
+	case c.IsCurrent(arrived):
+		return forwarder.Current, 0
+	case p.failures > 0:
+		return forwarder.StoreLost, p.retryAfter
+	default:
+		return forwarder.Undecided, p.retryAfter
+	}
+}
+
+// progress is the state of the reads.
+type progress struct {
+	reading    chan struct{} // closed when the read in progress ends, or when there is none
+	failures   int           // recent ones in a row
+	retryAfter time.Duration // until an answer is expected
+}
+
+// progress returns the state of the reads.
+func (c *confirmer) progress() progress {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := timekeeper.Now()
+	p := progress{reading: c.reading, retryAfter: max(0, c.nextAt.Sub(now)) + c.timeout}
+	if p.reading == nil {
+		p.reading = ended
+	}
+	if now.Sub(c.failedAt) < storeLostFor {
+		p.failures = c.failures
+	}
+	return p
+}
+
+// ended is the channel of a read that has ended.
+var ended = func() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
+// confirmWhileLeading reads the manifest again and again while this process leads, so
+// that its heartbeats can tell the members that theirs is the newest.
+func (f *follower) confirmWhileLeading(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if f.router.leader.IsLeader() && timekeeper.Now().Sub(f.confirmer.latest().BeganAt) >= leaderConfirmInterval {
+			f.confirmer.start()
+		}
+		sleep(ctx, leaderCheckInterval)
+	}
+	return ctx.Err()
+}
--- a/router/follower.go
+++ b/router/follower.go
@@ -28,7 +28,8 @@
 
 // follower holds what this process knows of the shared state.
 type follower struct {
-	router *Router
+	router    *Router
+	confirmer *confirmer // of the manifest
 
 	view       atomic.Pointer[forwarder.View]
 	reportedTo atomic.Uint64 // epoch of the leader that got the last report
--- a/router/manifest.go
+++ b/router/manifest.go
@@ -1,11 +1,14 @@
 package router
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"time"
 
 	"pimentorelay.example/pimento"
 	"pimentorelay.example/pimento/forwarder"
+	"pimentorelay.example/pimento/leader"
 	"pimentorelay.example/pimento/messenger"
 	"pimentorelay.example/pimento/timekeeper"
 )
@@ -132,21 +135,59 @@
 		ctx, cancel = context.WithTimeout(ctx, wait+watchMargin)
 		defer cancel()
 	}
-	began := time.Now()
+	began, beganAt := time.Now(), timekeeper.Now()
 	value, revision, err := f.router.Source.Manifest(ctx, after, wait)
 	if err != nil {
 		return pimento.Revision{}, err
 	}
 	f.router.leader.StoreAnswered()
-	if value != nil {
+	if value != nil && !f.isInForce(value) {
 		f.adoptManifest(value, manifestOrigin{From: originStore, Revision: revision})
 	}
 	f.mu.Lock()
 	f.manifestReadAt = began
+	version := f.versions.Manifest
 	f.mu.Unlock()
+	if after.IsZero() && revision.Era >= f.router.storeEra.Load() {
+		f.confirmer.answered(leader.ManifestRead{BeganAt: beganAt, Version: version, Era: revision.Era})
+	}
 	return revision, nil
 }
 
+// readManifest reads the whole manifest and adopts it.
+func (f *follower) readManifest(ctx context.Context) error {
+	revision, err := f.awaitManifest(ctx, pimento.Revision{})
+	if err != nil {
+		return err
+	}
+	if revision.Era < f.router.storeEra.Load() {
+		return errFormerEra
+	}
+	return nil
+}
+
+// errFormerEra means that an answer is of a time before the store was restored.
+var errFormerEra = errors.New("the answer is of a former era of the store")
+
+// isInForce reports whether a stored manifest is the one in force, byte for byte, so
+// that it need not be decoded.
+func (f *follower) isInForce(value []byte) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.encodedManifest != nil && bytes.Equal(value, f.encodedManifest)
+}
+
+// ManifestRead implements leader.Member.
+func (f *follower) ManifestRead() leader.ManifestRead { return f.confirmer.latest() }
+
+// ManifestConfirmed implements leader.Member. A read that showed an older version than
+// the one in force confirms that one too: no newer version was acknowledged before.
+func (f *follower) ManifestConfirmed(r leader.ManifestRead) {
+	if r.Version <= f.Versions().Manifest {
+		f.confirmer.confirm(r.BeganAt)
+	}
+}
+
 // ManifestReadAt implements leader.Member.
 func (f *follower) ManifestReadAt() time.Time {
 	f.mu.Lock()
--- a/router/manifest_test.go
+++ b/router/manifest_test.go
@@ -202,6 +202,7 @@
 	tasks.Go(func() { l.run(ctx) })
 	return r, tasks, func() {
 		cancel()
+		r.follower.confirmer.close()
 		tasks.Wait()
 	}
 }
--- a/router/observer.go
+++ b/router/observer.go
@@ -15,6 +15,7 @@
 	"pimentorelay.example/pimento/limiter"
 	"pimentorelay.example/pimento/quarantiner"
 	"pimentorelay.example/pimento/recorder"
+	"pimentorelay.example/pimento/timekeeper"
 )
 
 // observer logs requests and records their metrics.
@@ -25,6 +26,9 @@
 	// manifestReadAt and manifestVouchedAt return when the store was last read for a
 	// manifest, and when the leader last announced no newer one; zero: never.
 	manifestReadAt, manifestVouchedAt func() time.Time
+	// manifestConfirmedAt returns when the manifest in force was certainly the newest,
+	// on the clock of timekeeper; zero: never.
+	manifestConfirmedAt func() time.Time
 
 	usedManifest atomic.Uint64 // latest version under which a request has ended
 }
@@ -152,7 +156,8 @@
 		out = append(out, "Route", r.Route.Name, "Service", r.Service)
 	} else {
 		out = append(out, "Method", r.Method, "Host", r.Host)
-		out = append(out, "Read", pimento.Age(now, o.manifestReadAt()), "Vouched", pimento.Age(now, o.manifestVouchedAt()))
+		out = append(out, "Read", pimento.Age(now, o.manifestReadAt()), "Vouched", pimento.Age(now, o.manifestVouchedAt()),
+			"Confirmed", pimento.Age(timekeeper.Now(), o.manifestConfirmedAt()))
 	}
 	if r.Keyed {
 		out = append(out, "Key", r.Key)
--- a/router/operators.go
+++ b/router/operators.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/timekeeper"
 )
 
 // serveOperators serves health, metrics, status and timeline until ctx ends.
@@ -39,7 +40,8 @@
 		"relay_epoch":              func() float64 { return float64(r.leader.Term().Epoch) },
 		"relay_manifest_version":   func() float64 { return float64(r.follower.Versions().Manifest) },
 		"relay_manifest_announced": func() float64 { return float64(r.follower.announcedVersion()) },
-		"relay_manifest_read_age":  func() float64 { return ageSeconds(r.follower.ManifestReadAt()) },
+		"relay_manifest_read_age":  func() float64 { return ageSeconds(time.Now(), r.follower.ManifestReadAt()) },
+		"relay_manifest_age":       func() float64 { return ageSeconds(timekeeper.Now(), r.follower.confirmer.at()) },
 		"relay_unheld_keys":        func() float64 { return float64(r.follower.unheldKeys()) },
 		"relay_waiting_requests":   func() float64 { return float64(r.admitter.Waiting()) },
 		"relay_active_requests":    func() float64 { return float64(r.acceptor.Active()) },
@@ -50,12 +52,12 @@
 	}
 }
 
-// ageSeconds returns the seconds since t, -1 if t is zero.
-func ageSeconds(t time.Time) float64 {
+// ageSeconds returns the seconds from t to now, -1 if t is zero.
+func ageSeconds(now, t time.Time) float64 {
 	if t.IsZero() {
 		return -1
 	}
-	return time.Since(t).Seconds()
+	return now.Sub(t).Seconds()
 }
 
 func gaugeValue(b bool) float64 {
--- a/router/router.go
+++ b/router/router.go
@@ -108,6 +108,7 @@
 		return fmt.Errorf("Router.Run: %w", err)
 	}
 	stop()
+	r.follower.confirmer.close()
 	r.acceptor.Abort()
 	if err := <-done; err != nil && !errors.Is(err, context.Canceled) {
 		return fmt.Errorf("Router.Run: %w", err)
@@ -134,11 +135,14 @@
 		events: r.events, metrics: r.metrics, epoch: func() uint64 { return r.leader.Term().Epoch },
 		manifestReadAt:    func() time.Time { return r.follower.ManifestReadAt() },
 		manifestVouchedAt: func() time.Time { return r.follower.manifestVouchedAt() },
+
+		manifestConfirmedAt: func() time.Time { return r.follower.confirmer.at() },
 	}
 	r.messenger = &messenger.Messenger{Self: r.self, Handler: (*handler)(r)}
 	r.admitter = &admitter.Admitter{Self: r.self, Peers: r.messenger, Wire: r.UpstreamWire, RetryBudget: retryBudget(r.Bounds), OnLimit: r.observer.limitChanged, OnCrashFinding: r.observer.crashFound}
 	r.registrar = &registrar.Registrar{Self: r.self, Peers: r.messenger, Events: r.events}
 	r.follower = &follower{router: r, announcedNewer: make(chan struct{}, 1)}
+	r.follower.confirmer = newConfirmer(r.follower.readManifest, func() time.Duration { return r.bounds.Load().Apply })
 	r.restored = make(chan struct{}, 1)
 	r.leader = &leader.Leader{
 		Self: r.self, Store: r.Store, Source: r.Source, Peers: r.messenger, Member: r.follower, Events: r.events,
@@ -149,8 +153,9 @@
 	r.acceptor = &acceptor.Acceptor{
 		Handler: &forwarder.Forwarder{
 			View: r.follower.view.Load, Dispatcher: r.admitter, Records: r.registrar, RequireKey: r.RequireKey, Observer: r.observer,
+			Currency: r.follower.confirmer,
 		},
-		Wire: r.CallerWire, Limits: r.follower.limits, OnRefused: r.observer.Refused, OnTruncated: r.observer.AnswerCut,
+		Wire: r.CallerWire, Limits: r.follower.limits, IsCurrent: r.follower.confirmer.IsCurrent, OnRefused: r.observer.Refused, OnTruncated: r.observer.AnswerCut,
 	}
 	r.registerGauges()
 }
@@ -230,6 +235,7 @@
 		{"records", r.registrar.Run},
 		{"registration", r.register},
 		{"manifest", r.follower.watchManifest},
+		{"confirmation", r.follower.confirmWhileLeading},
 		{"state", r.follower.pollState},
 		{"callers", func(ctx context.Context) error { return r.acceptor.Serve(ctx, l.callers) }},
 	} {
--- a/router/store_health.go
+++ b/router/store_health.go
@@ -61,6 +61,7 @@
 	if former == 0 {
 		return
 	}
+	r.follower.confirmer.forget()
 	r.events.Emit(pimento.EventStoreRestored, "Era", era, "Former", former)
 	select {
 	case r.restored <- struct{}{}:
