--- a/router/confirmer_test.go
+++ b/router/confirmer_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -124,3 +126,47 @@
 	is.True(f.readManifest(t.Context()) != nil) // the source answers without an era
 	is.True(f.confirmer.at().IsZero())
 }
+
+// TestRequestsShareOneRead checks that many requests that meet an old manifest at once
+// wait for the same read, and are decided by what it brings.
+func TestRequestsShareOneRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, d, source, _, stop := startStaleFollower(t)
+		defer stop()
+		source.put(2)
+		source.inject(func(ctx context.Context, _ *manifestStore, _ bool) error {
+			sleep(ctx, 100*time.Millisecond)
+			return ctx.Err()
+		})
+		time.Sleep(manifestTarget)
+		var requests sync.WaitGroup
+		var served atomic.Int32
+		for range 200 {
+			requests.Go(func() {
+				if sendThrough(t, r, d, "/added").reason == pimento.ReasonOverloaded { // by the dispatcher
+					served.Add(1)
+				}
+			})
+		}
+		requests.Wait()
+		if n := served.Load(); n != 200 {
+			t.Errorf("%d of 200 requests were routed", n)
+		}
+		if _, reads := source.sinceChange(); reads != 1 {
+			t.Errorf("read %d times", reads)
+		}
+	})
+}
+
+// TestSilentWatchConfirmsNothing guards against a watch that hears nothing and is taken
+// for a proof that nothing was written.
+func TestSilentWatchConfirmsNothing(t *testing.T) {
+	is := is.New(t)
+	r := newRouter()
+	defer r.follower.confirmer.close()
+	_, err := r.follower.awaitManifest(t.Context(), pimento.Revision{Number: 7})
+	is.NoErr(err)
+	is.True(!r.follower.ManifestReadAt().IsZero())
+	is.True(r.follower.ManifestRead().BeganAt.IsZero())
+	is.True(!r.follower.confirmer.IsCurrent(time.Now()))
+}
