Let a leader's watch for a manifest last as long as any other

Its watch lasted 0.8 s only so that a silent connection was given up in time; the reads find that out sooner, so the watch lasts 3 s like that of other processes.

TestManifestIsInForceInTime now runs the two tasks that follow the manifest, as a process does.

--- a/router/manifest.go
+++ b/router/manifest.go
@@ -14,12 +14,9 @@
 )
 
 const (
-	// leaderWatchTimeout bounds one watch for a manifest by the leader, so that a
-	// silent connection is given up in time for all processes.
-	leaderWatchTimeout = 800 * time.Millisecond
-	// orphanWatchTimeout bounds one watch by a process without a leader that reaches
-	// the store.
-	orphanWatchTimeout = 3 * time.Second
+	// watchTimeout bounds one watch for a manifest. The reads that confirm it find sooner
+	// that a watch is silent (confirmer.go).
+	watchTimeout = 3 * time.Second
 	// watchMargin is added to the wait of a watch to get the time after which it is
 	// given up. The answer of a slow store comes within it.
 	watchMargin = 400 * time.Millisecond
@@ -126,17 +123,13 @@
 // the revision to continue from, zero after an error: the next call then reads the
 // manifest without waiting.
 func (f *follower) awaitManifest(ctx context.Context, after pimento.Revision) (pimento.Revision, error) {
-	wait := orphanWatchTimeout
-	if f.router.leader.IsLeader() {
-		wait = leaderWatchTimeout
-	}
 	if !after.IsZero() {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, wait+watchMargin)
+		ctx, cancel = context.WithTimeout(ctx, watchTimeout+watchMargin)
 		defer cancel()
 	}
 	began, beganAt := time.Now(), timekeeper.Now()
-	value, revision, err := f.router.Source.Manifest(ctx, after, wait)
+	value, revision, err := f.router.Source.Manifest(ctx, after, watchTimeout)
 	if err != nil {
 		return pimento.Revision{}, err
 	}
--- a/router/manifest_test.go
+++ b/router/manifest_test.go
@@ -217,6 +217,14 @@
 	}, func(*messenger.Message) {})
 }
 
+// followManifest is the tasks of a process that follow the manifest.
+func followManifest(f *follower, ctx context.Context) error {
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	tasks.Go(func() { _ = f.confirmWhileLeading(ctx) }) // the error is that of ctx
+	return f.watchManifest(ctx)
+}
+
 // TestManifestIsInForceInTime guards against a process that hears from its leader
 // and therefore waits for a manifest that the leader cannot bring.
 func TestManifestIsInForceInTime(t *testing.T) {
@@ -295,7 +303,7 @@
 				l := &fakeLeader{}
 				l.version.Store(1)
 				l.silent.Store(c.leads)
-				r, tasks, stop := startFollower(t, l, source, store, (*follower).watchManifest)
+				r, tasks, stop := startFollower(t, l, source, store, followManifest)
 				defer stop()
 				time.Sleep(3 * time.Second)
 				if v := r.follower.Versions().Manifest; v != 1 || r.leader.IsLeader() != c.leads {
