--- a/router/manifest_test.go
+++ b/router/manifest_test.go
@@ -218,7 +218,7 @@
 }
 
 // followManifest is the tasks of a process that follow the manifest.
-func followManifest(f *follower, ctx context.Context) error {
+func followManifest(ctx context.Context, f *follower) error {
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
 	tasks.Go(func() { _ = f.confirmWhileLeading(ctx) }) // the error is that of ctx
@@ -303,7 +303,7 @@
 				l := &fakeLeader{}
 				l.version.Store(1)
 				l.silent.Store(c.leads)
-				r, tasks, stop := startFollower(t, l, source, store, followManifest)
+				r, tasks, stop := startFollower(t, l, source, store, func(f *follower, ctx context.Context) error { return followManifest(ctx, f) })
 				defer stop()
 				time.Sleep(3 * time.Second)
 				if v := r.follower.Versions().Manifest; v != 1 || r.leader.IsLeader() != c.leads {
