--- a/router/manifest.go
+++ b/router/manifest.go
@@ -1,22 +1,22 @@
 package router
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"time"
 
 	"pimentorelay.example/pimento"
 	"pimentorelay.example/pimento/forwarder"
+	"pimentorelay.example/pimento/leader"
 	"pimentorelay.example/pimento/messenger"
 	"pimentorelay.example/pimento/timekeeper"
 )
 
 const (
-	// leaderWatchTimeout bounds one watch for a manifest by the leader, so that a
-	// silent connection is given up in time for all processes.
-	leaderWatchTimeout = 800 * time.Millisecond
-	// orphanWatchTimeout bounds one watch by a process without a leader that reaches
-	// the store.
-	orphanWatchTimeout = 3 * time.Second
+	// watchTimeout bounds one watch for a manifest. The reads that confirm it find sooner
+	// that a watch is silent (confirmer.go).
+	watchTimeout = 3 * time.Second
 	// watchMargin is added to the wait of a watch to get the time after which it is
 	// given up. The answer of a slow store comes within it.
 	watchMargin = 400 * time.Millisecond
@@ -123,30 +123,64 @@
 // the revision to continue from, zero after an error: the next call then reads the
 // manifest without waiting.
 func (f *follower) awaitManifest(ctx context.Context, after pimento.Revision) (pimento.Revision, error) {
-	wait := orphanWatchTimeout
-	if f.router.leader.IsLeader() {
-		wait = leaderWatchTimeout
-	}
 	if !after.IsZero() {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, wait+watchMargin)
+		ctx, cancel = context.WithTimeout(ctx, watchTimeout+watchMargin)
 		defer cancel()
 	}
-	began := time.Now()
-	value, revision, err := f.router.Source.Manifest(ctx, after, wait)
+	began, beganAt := time.Now(), timekeeper.Now()
+	value, revision, err := f.router.Source.Manifest(ctx, after, watchTimeout)
 	if err != nil {
 		return pimento.Revision{}, err
 	}
 	f.router.leader.StoreAnswered()
-	if value != nil {
+	if value != nil && !f.isInForce(value) {
 		f.adoptManifest(value, manifestOrigin{From: originStore, Revision: revision})
 	}
 	f.mu.Lock()
 	f.manifestReadAt = began
+	version := f.versions.Manifest
 	f.mu.Unlock()
+	if after.IsZero() && revision.Era >= f.router.storeEra.Load() {
+		f.confirmer.answered(leader.ManifestRead{BeganAt: beganAt, Version: version, Era: revision.Era})
+	}
 	return revision, nil
 }
 
+// readManifest reads the whole manifest and adopts it.
+func (f *follower) readManifest(ctx context.Context) error {
+	revision, err := f.awaitManifest(ctx, pimento.Revision{})
+	if err != nil {
+		return err
+	}
+	if revision.Era < f.router.storeEra.Load() {
+		return errFormerEra
+	}
+	return nil
+}
+
+// errFormerEra means that an answer is of a time before the store was restored.
+var errFormerEra = errors.New("the answer is of a former era of the store")
+
+// isInForce reports whether a stored manifest is the one in force, byte for byte, so
+// that it need not be decoded.
+func (f *follower) isInForce(value []byte) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.encodedManifest != nil && bytes.Equal(value, f.encodedManifest)
+}
+
+// ManifestRead implements leader.Member.
+func (f *follower) ManifestRead() leader.ManifestRead { return f.confirmer.latest() }
+
+// ManifestConfirmed implements leader.Member. A read that showed an older version than
+// the one in force confirms that one too: no newer version was acknowledged before.
+func (f *follower) ManifestConfirmed(r leader.ManifestRead) {
+	if r.Version <= f.Versions().Manifest {
+		f.confirmer.confirm(r.BeganAt)
+	}
+}
+
 // ManifestReadAt implements leader.Member.
 func (f *follower) ManifestReadAt() time.Time {
 	f.mu.Lock()
