--- a/admitter/acquire.go
+++ b/admitter/acquire.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"pimentorelay.example/pimento"
@@ -21,6 +22,9 @@
 // preference list in order and, if none can be reached, decides locally.
 func (a *Admitter) Acquire(ctx context.Context, r *pimento.Request, attempt forwarder.AttemptState) (forwarder.Permit, error) {
 	a.init()
+	if wait := a.quarantineWait(quarantiner.Fingerprint(r.Fingerprint)); wait > 0 {
+		return nil, quarantineRefusal(wait)
+	}
 	key, candidates := a.candidates(r)
 	for _, p := range candidates {
 		if p.ID == a.Self.ID {
@@ -99,7 +103,7 @@
 	runAll(callbacks)
 	select {
 	case d := <-decided:
-		return a.localPermit(key, d)
+		return a.localPermit(key, r, d)
 	case <-ctx.Done():
 		a.cancel(key, id)
 		return nil, contextError(ctx)
@@ -107,25 +111,28 @@
 }
 
 // localPermit turns a decision of this process into a permit.
-func (a *Admitter) localPermit(key poolKey, d scheduler.Decision) (forwarder.Permit, error) {
+func (a *Admitter) localPermit(key poolKey, r *pimento.Request, d scheduler.Decision) (forwarder.Permit, error) {
 	if d.Refusal != nil {
 		return nil, d.Refusal
 	}
 	s, ok := a.server(d.Upstream)
 	if !ok {
-		a.releasePermit(key, d.Ticket, scheduler.Result{Kind: scheduler.ResultCanceled})
+		a.releasePermit(key, d.Ticket, scheduler.Result{Kind: scheduler.ResultCanceled, Unsent: true})
 		return nil, pimento.NotRun(pimento.ReasonNoOwner, "the upstream is gone")
 	}
 	basis := forwarder.Basis{
 		Dispatcher: a.Self.ID, Running: d.Running, Slots: d.Slots, Expected: d.Expected, Owners: a.ownersVersion(),
 	}
 	release := func(r scheduler.Result) { a.releasePermit(key, d.Ticket, r) }
-	return a.newPermit(s, basis, release), nil
+	return a.newPermit(s, r, basis, release), nil
 }
 
 // newPermit returns a permit for an upstream.
-func (a *Admitter) newPermit(s pimento.Server, basis forwarder.Basis, release func(scheduler.Result)) *permit {
-	return &permit{admitter: a, server: s, basis: basis, client: a.client(s), release: release}
+func (a *Admitter) newPermit(s pimento.Server, r *pimento.Request, basis forwarder.Basis, release func(scheduler.Result)) *permit {
+	return &permit{
+		admitter: a, server: s, fingerprint: quarantiner.Fingerprint(r.Fingerprint), issuedAt: time.Now(),
+		basis: basis, client: a.client(s), release: release,
+	}
 }
 
 // contextError returns the error of a request whose context ended before it
@@ -157,7 +164,7 @@
 		refusal.RetryAfter, refusal.By = reply.Refusal.RetryAfter, p.ID
 		return nil, refusal
 	case reply.Permit != nil:
-		return a.remotePermit(p, key, reply.Permit)
+		return a.remotePermit(p, key, r, reply.Permit)
 	default:
 		return nil, &pimento.UnreachableError{Target: string(p.ID), Cause: errUnexpectedReply}
 	}
@@ -169,14 +176,14 @@
 
 // remotePermit turns the permit of another process into one that reports the
 // result to that process.
-func (a *Admitter) remotePermit(p pimento.Process, key poolKey, m *messenger.Permit) (forwarder.Permit, error) {
+func (a *Admitter) remotePermit(p pimento.Process, key poolKey, request *pimento.Request, m *messenger.Permit) (forwarder.Permit, error) {
 	address, err := netip.ParseAddrPort(m.Address)
 	if err != nil {
 		return nil, &pimento.UnreachableError{Target: string(p.ID), Cause: err}
 	}
 	s := pimento.Server{Name: m.Name, Service: key.service, Address: address, Domain: m.Domain, Started: time.UnixMilli(m.Started)}
 	release := func(r scheduler.Result) {
-		d := &messenger.Done{Service: key.service, Pool: key.index, Ticket: m.Ticket, Kind: string(r.Kind), Took: r.Took, ColdFor: r.ColdFor}
+		d := &messenger.Done{Service: key.service, Pool: key.index, Ticket: m.Ticket, Kind: string(r.Kind), Took: r.Took, ColdFor: r.ColdFor, Down: r.Down, Unsent: r.Unsent}
 		d.Limited, d.Limit = r.Limit.Named, r.Limit.Rate
 		if r.HasLoad {
 			d.InFlight, d.Waiting, d.Slots, d.Slowness = r.Load.InFlight, r.Load.Waiting, max(1, r.Load.Slots), r.Load.Slowness
@@ -189,7 +196,7 @@
 		}
 	}
 	basis := forwarder.Basis{Dispatcher: p.ID, Running: m.Running, Slots: m.Slots, Expected: m.Expected, Owners: m.Owners}
-	return a.newPermit(s, basis, release), nil
+	return a.newPermit(s, request, basis, release), nil
 }
 
 // doneTimeout bounds the message that returns a permit.
@@ -197,13 +204,14 @@
 
 // permit implements forwarder.Permit.
 type permit struct {
-	admitter *Admitter
-	server   pimento.Server
-	basis    forwarder.Basis
-	client   *connector.Client
-	release  func(scheduler.Result)
-	sentAt   time.Time
-	result   scheduler.Result
+	admitter    *Admitter
+	server      pimento.Server
+	fingerprint quarantiner.Fingerprint
+	issuedAt    time.Time
+	basis       forwarder.Basis
+	client      *connector.Client
+	release     func(scheduler.Result)
+	result      scheduler.Result
 }
 
 // Upstream implements forwarder.Permit.
@@ -214,10 +222,11 @@
 
 // Serve implements forwarder.Permit.
 func (p *permit) Serve(ctx context.Context, r *pimento.Request, body io.Reader) (pimento.Answer, pimento.AnswerMetadata, error) {
-	p.sentAt = time.Now()
+	sentAt := time.Now()
 	answer, metadata, err := p.client.Send(ctx, r, body)
-	p.result = scheduler.Result{Kind: resultKind(answer, err), Took: time.Since(p.sentAt), Load: metadata.Load, HasLoad: metadata.HasLoad, ColdFor: metadata.ColdFor, Limit: metadata.Limit}
-	p.admitter.observeLimit(p.sentAt, p.server.Name, metadata, err)
+	p.result = scheduler.Result{Kind: resultKind(answer, err), Took: time.Since(sentAt), Load: metadata.Load, HasLoad: metadata.HasLoad, ColdFor: metadata.ColdFor, Limit: metadata.Limit}
+	p.result.Down = errors.Is(err, syscall.ECONNREFUSED)
+	p.admitter.observeLimit(sentAt, p.server.Name, metadata, err)
 	return answer, metadata, err
 }
 
@@ -251,8 +260,10 @@
 
 // Done implements forwarder.Permit.
 func (p *permit) Done(err error) {
-	if err != nil && p.result.Kind == scheduler.ResultAnswered {
-		p.result.Kind = scheduler.ResultBroken
+	answered := p.result.Kind == scheduler.ResultAnswered || p.result.Kind == scheduler.ResultFailed
+	if err != nil && answered {
+		p.result.Kind = resultKind(pimento.Answer{}, err)
 	}
+	p.admitter.recordSent(p)
 	p.release(p.result)
 }
--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -101,11 +101,12 @@
 	OnLimit func(limiter.Change)
 	// OnCrashFinding is called for each finding about a request that may crash
 	// upstreams; it may be nil.
-	OnCrashFinding func(CrashFinding)
+	OnCrashFinding func(quarantiner.Finding)
 
 	mu         sync.Mutex
 	quarantine *quarantiner.Machine
-	findings   []CrashFinding // since the last tick
+	findings   []quarantiner.Finding         // since the last tick
+	probes     map[quarantiner.Run]time.Time // when runs were last probed
 	state      *Snapshot
 	pools      map[poolKey]*pool
 	skipUntil  map[pimento.ProcessID]time.Time // dispatchers that did not answer
@@ -134,14 +135,16 @@
 
 // issuedPermit is a permit that is in use.
 type issuedPermit struct {
-	upstream    pimento.UpstreamName
+	run         quarantiner.Run
 	fingerprint quarantiner.Fingerprint
 	at          time.Time
+	deadline    time.Time
 }
 
 // waiter is a request that waits for a decision.
 type waiter struct {
 	fingerprint quarantiner.Fingerprint
+	deadline    time.Time
 	link        *messenger.Link // nil: a request of this process
 	call        uint64
 	answer      func(scheduler.Decision)
@@ -155,6 +158,7 @@
 		a.wake = make(chan struct{}, 1)
 		a.state = &Snapshot{}
 		a.quarantine = quarantiner.New()
+		a.probes = make(map[quarantiner.Run]time.Time)
 	})
 }
 
@@ -167,12 +171,12 @@
 		a.mu.Unlock()
 		return
 	}
-	a.recordRestarts(now, next)
 	a.state = next
+	a.observeRuns(now)
 	var callbacks []func()
 	for key, p := range a.pools {
-		callbacks = append(callbacks, p.applyDecisions(a.updatePool(key, p))...)
-		callbacks = append(callbacks, p.applyDecisions(p.machine.Tick(now))...)
+		callbacks = append(callbacks, a.applyDecisions(now, p, a.updatePool(key, p))...)
+		callbacks = append(callbacks, a.applyDecisions(now, p, p.machine.Tick(now))...)
 	}
 	a.closeIdleClients(now)
 	a.limits.Retain(now, a.isKnown)
@@ -269,12 +273,13 @@
 	p := a.pool(key)
 	a.lastTicket++
 	t.ID = a.lastTicket
+	w.deadline = t.Deadline
 	if wait := a.quarantine.RetryAfter(now, w.fingerprint); wait > 0 {
 		return t.ID, []func(){func() { w.answer(scheduler.Decision{Ticket: t.ID, Refusal: quarantineRefusal(wait)}) }}
 	}
 	p.waiting[t.ID] = w
 	p.loads[t.Key]++
-	callbacks := p.applyDecisions(p.machine.Offer(now, t))
+	callbacks := a.applyDecisions(now, p, p.machine.Offer(now, t))
 	if p.machine.Waiting() > 0 {
 		a.wakeRun()
 	}
@@ -282,18 +287,19 @@
 }
 
 // applyDecisions ends the wait of the tickets decided on and returns the
-// callbacks that deliver the decisions. The caller holds the admitter's mu, and
-// runs the callbacks without it.
-func (p *pool) applyDecisions(decisions []scheduler.Decision) []func() {
+// callbacks that deliver the decisions. The caller holds mu, and runs the callbacks without it.
+func (a *Admitter) applyDecisions(now time.Time, p *pool, decisions []scheduler.Decision) []func() {
 	var callbacks []func()
-	for _, d := range decisions {
+	for len(decisions) > 0 {
+		d := decisions[0]
+		decisions = decisions[1:]
 		w, ok := p.waiting[d.Ticket]
 		if !ok {
 			continue
 		}
 		delete(p.waiting, d.Ticket)
 		if d.Refusal == nil {
-			p.issued[d.Ticket] = issuedPermit{upstream: d.Upstream, fingerprint: w.fingerprint, at: time.Now()}
+			p.issued[d.Ticket] = issuedPermit{run: a.runOf(d.Upstream), fingerprint: w.fingerprint, at: now, deadline: w.deadline}
 		}
 		if d.Refusal == nil && w.link != nil {
 			p.links[d.Ticket] = w.link
@@ -316,10 +322,12 @@
 	var callbacks []func()
 	if p, ok := a.pools[key]; ok {
 		now := time.Now()
-		a.recordResult(now, p.issued[ticket], r.Kind)
+		if issued, ok := p.issued[ticket]; ok {
+			a.recordResult(now, issued, r)
+		}
 		delete(p.issued, ticket)
 		delete(p.links, ticket)
-		callbacks = p.applyDecisions(p.machine.Done(now, ticket, r))
+		callbacks = a.applyDecisions(now, p, p.machine.Done(now, ticket, r))
 	}
 	a.mu.Unlock()
 	runAll(callbacks)
@@ -327,12 +335,13 @@
 
 // cancel removes a request that waits, or ends its permit without a result.
 func (a *Admitter) cancel(key poolKey, ticket uint64) {
+	now := time.Now()
 	a.mu.Lock()
 	var callbacks []func()
 	if p, ok := a.pools[key]; ok {
 		delete(p.waiting, ticket)
 		delete(p.issued, ticket)
-		callbacks = p.applyDecisions(p.machine.Cancel(time.Now(), ticket))
+		callbacks = a.applyDecisions(now, p, p.machine.Cancel(now, ticket))
 	}
 	a.mu.Unlock()
 	runAll(callbacks)
@@ -373,8 +382,11 @@
 	a.mu.Lock()
 	changes, callbacks := a.applyLimits(now)
 	for _, p := range a.pools {
-		callbacks = append(callbacks, p.applyDecisions(p.machine.Tick(now))...)
+		a.endLostPermits(now, p)
+		callbacks = append(callbacks, a.applyDecisions(now, p, p.machine.Tick(now))...)
 	}
+	a.observeRuns(now)
+	suspected := a.runsToProbe(now)
 	waiting := false
 	for _, p := range a.pools {
 		waiting = waiting || p.machine.Waiting() > 0
@@ -385,6 +397,7 @@
 	runAll(callbacks)
 	a.reportLimits(changes)
 	a.reportFindings(findings)
+	a.probeRuns(suspected)
 	return waiting
 }
 
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -216,13 +216,13 @@
 	}
 }
 
-// TestCrashesQuarantineRequest checks that a request whose connections broke
-// before its upstream restarted is reported once for each crash and refused, and
-// that Block refuses it too.
+// TestCrashesQuarantineRequest checks that a request whose connections broke before
+// its upstream restarted is reported, one fact for each crash, by its dispatcher and by
+// its sender until the leader's state shows it, and refused, also by processes that
+// have it from the leader's state.
 func TestCrashesQuarantineRequest(t *testing.T) {
 	is := is.New(t)
 	n := newNetwork(t)
-	a := n.nodes["a"]
 	for i := range quarantiner.CrashLimit {
 		p, err := n.acquire(t, "b")
 		is.NoErr(err)
@@ -230,20 +230,35 @@
 		p.Done(nil)
 		n.setState(time.Unix(int64(i+2), 0))
 	}
-	is.Equal(a.Report().CrashReports, []quarantiner.Fingerprint{7, 7, 7})
-	is.Equal(len(a.Report().CrashReports), 0)
+	facts := n.nodes["a"].Report(1).CrashFacts
+	for _, id := range []pimento.ProcessID{"a", "b"} {
+		runs := make(map[quarantiner.Run]bool)
+		for _, f := range n.nodes[id].Report(1).CrashFacts {
+			is.Equal(f.Fingerprint, quarantiner.Fingerprint(7))
+			runs[f.Run] = true
+		}
+		is.Equal(runs, map[quarantiner.Run]bool{{Upstream: "u", Started: 1000}: true, {Upstream: "u", Started: 2000}: true, {Upstream: "u", Started: 3000}: true})
+		n.nodes[id].MergeCrashFacts(facts)
+		is.Equal(len(n.nodes[id].Report(1).CrashFacts), 0)
+		is.Equal(len(n.nodes[id].Report(2).CrashFacts), quarantiner.CrashLimit) // a new leader
+	}
 	var out *pimento.OutcomeError
 	_, err := n.acquire(t, "b")
 	is.True(errors.As(err, &out))
 	is.Equal(out.Reason, pimento.ReasonQuarantined)
 
 	n.down["a"] = true
+	_, err = n.acquire(t, "c")
+	is.True(errors.As(err, &out))
+	is.Equal(out.By, pimento.ProcessID("b")) // has seen the crashes as their sender
+	n.down["b"] = true
 	_, by := n.mustAcquire(t, "c")
-	is.Equal(by, pimento.ProcessID("b")) // has seen none of the crashes
-	n.nodes["b"].Block([]quarantiner.Fingerprint{7})
+	is.Equal(by, pimento.ProcessID("c")) // has seen none of them
+	n.nodes["c"].MergeCrashFacts(facts)
 	_, err = n.acquire(t, "c")
 	is.True(errors.As(err, &out))
 	is.Equal(out.Reason, pimento.ReasonQuarantined)
+	is.Equal(out.By, pimento.ProcessID("")) // not asked for a permit
 }
 
 // TestOlderSnapshotIsIgnored guards against a snapshot that is passed on late, by
--- a/admitter/crash.go
+++ b/admitter/crash.go
@@ -16,42 +16,82 @@
 	return refusal
 }
 
+// quarantineWait returns how long a request is refused by what this process knows,
+// zero if it may be sent.
+func (a *Admitter) quarantineWait(p quarantiner.Fingerprint) time.Duration {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.quarantine.RetryAfter(now, p)
+}
+
+// recordSent passes the result of a request that this process has sent to the
+// quarantine. Its dispatcher does the same, but may not hear of it.
+func (a *Admitter) recordSent(p *permit) {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.recordResult(now, issuedPermit{run: quarantiner.RunOf(p.server), fingerprint: p.fingerprint, at: p.issuedAt}, p.result)
+}
+
 // recordResult passes the result of a request with a permit to the quarantine.
 // The caller holds mu.
-func (a *Admitter) recordResult(now time.Time, issued issuedPermit, kind scheduler.ResultKind) {
-	if issued.upstream == "" {
-		return // the permit has already ended
-	}
+func (a *Admitter) recordResult(now time.Time, issued issuedPermit, r scheduler.Result) {
 	defer a.keepFindings()
-	switch kind {
-	case scheduler.ResultAnswered, scheduler.ResultFailed:
-		a.quarantine.Answered(issued.upstream, issued.at, issued.fingerprint)
+	if r.Down {
+		a.quarantine.Down(now, issued.run)
+	}
+	if r.Unsent {
+		return
+	}
+	switch r.Kind {
+	case scheduler.ResultAnswered:
+		a.quarantine.Answered(now, issued.run, issued.at, issued.fingerprint)
+	case scheduler.ResultFailed:
+		a.quarantine.Answered(now, issued.run, issued.at, 0)
 	case scheduler.ResultBroken:
-		a.quarantine.ConnectionBroke(now, issued.upstream, issued.fingerprint)
-	case scheduler.ResultUnreachable:
-		a.quarantine.Down(now, issued.upstream)
+		a.quarantine.ConnectionBroke(now, issued.run, issued.fingerprint)
+	case scheduler.ResultTimeout, scheduler.ResultCanceled:
+		a.quarantine.Unanswered(now, issued.run, issued.fingerprint)
 	}
 }
 
-// recordRestarts passes the upstreams that restarted or were removed to the
-// quarantine. The caller holds mu.
-func (a *Admitter) recordRestarts(now time.Time, next *Snapshot) {
-	started := make(map[pimento.UpstreamName]time.Time, len(next.Upstreams))
-	for _, u := range next.Upstreams {
-		started[u.Name] = u.Started
+// recordLost records that the end of a request with a permit will not be reported. The
+// caller holds mu.
+func (a *Admitter) recordLost(now time.Time, p *pool, ticket uint64) {
+	if issued, ok := p.issued[ticket]; ok {
+		a.quarantine.Unanswered(now, issued.run, issued.fingerprint)
 	}
-	for _, u := range a.state.Upstreams {
-		if at, ok := started[u.Name]; !ok || !at.Equal(u.Started) {
-			a.quarantine.Restarted(now, u.Name)
+	delete(p.issued, ticket)
+	delete(p.links, ticket)
+}
+
+// lostPermitTime is how long after the deadline of its request a permit that was not
+// returned counts as lost.
+const lostPermitTime = time.Second
+
+// endLostPermits records the permits of a pool that were not returned in time. The
+// caller holds mu.
+func (a *Admitter) endLostPermits(now time.Time, p *pool) {
+	for ticket, issued := range p.issued {
+		if now.Sub(issued.deadline) > lostPermitTime {
+			a.recordLost(now, p, ticket)
 		}
 	}
-	a.keepFindings()
 }
 
-// CrashFinding is a finding about a request and the run of the upstream concerned.
-type CrashFinding struct {
-	quarantiner.Finding
-	Started time.Time // of the run; zero: not known
+// observeRuns passes the known runs of upstreams to the quarantine if it waits for
+// evidence. The caller holds mu.
+func (a *Admitter) observeRuns(now time.Time) {
+	if !a.quarantine.HasSuspicions() || len(a.state.Upstreams) == 0 {
+		return
+	}
+	list := make(map[pimento.UpstreamName]quarantiner.Listing, len(a.state.Upstreams))
+	for _, u := range a.state.Upstreams {
+		list[u.Name] = quarantiner.Listing{Started: u.Started.UnixMilli(), Leaving: u.State == pimento.StateLeaving}
+	}
+	a.quarantine.Listed(now, list)
+	a.keepFindings()
 }
 
 // maxCrashFindings bounds the findings between two ticks.
@@ -62,24 +102,23 @@
 func (a *Admitter) keepFindings() {
 	for _, f := range a.quarantine.Findings() {
 		if len(a.findings) < maxCrashFindings {
-			a.findings = append(a.findings, CrashFinding{Finding: f, Started: a.startOf(f.Upstream)})
+			a.findings = append(a.findings, f)
 		}
 	}
 }
 
-// startOf returns the start of the known run of an upstream, zero if none is known.
-// The caller holds mu.
-func (a *Admitter) startOf(name pimento.UpstreamName) time.Time {
+// runOf returns the known run of an upstream. The caller holds mu.
+func (a *Admitter) runOf(name pimento.UpstreamName) quarantiner.Run {
 	for _, u := range a.state.Upstreams {
 		if u.Name == name {
-			return u.Started
+			return quarantiner.RunOf(u.Server)
 		}
 	}
-	return time.Time{}
+	return quarantiner.Run{Upstream: name}
 }
 
 // reportFindings passes findings to OnCrashFinding. The caller does not hold mu.
-func (a *Admitter) reportFindings(findings []CrashFinding) {
+func (a *Admitter) reportFindings(findings []quarantiner.Finding) {
 	if a.OnCrashFinding == nil {
 		return
 	}
@@ -88,14 +127,15 @@
 	}
 }
 
-// Block refuses requests that were confirmed to crash upstreams.
-func (a *Admitter) Block(fingerprints []quarantiner.Fingerprint) {
+// MergeCrashFacts adds the crashes that the leader's state shows.
+func (a *Admitter) MergeCrashFacts(facts []quarantiner.Fact) {
+	if len(facts) == 0 {
+		return
+	}
 	a.init()
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for _, p := range fingerprints {
-		a.quarantine.BlockReported(now, p)
-	}
+	a.quarantine.Merge(now, facts)
 	a.keepFindings()
 }
--- a/admitter/crash_test.go
+++ b/admitter/crash_test.go
@@ -21,6 +21,13 @@
 	crashNoticeTime = 3 * time.Second
 )
 
+// threeCrashes are facts of the test request that another process has found.
+var threeCrashes = []quarantiner.Fact{
+	{Fingerprint: 7, Run: quarantiner.Run{Upstream: "x", Started: 1}},
+	{Fingerprint: 7, Run: quarantiner.Run{Upstream: "x", Started: 2}},
+	{Fingerprint: 7, Run: quarantiner.Run{Upstream: "y", Started: 1}},
+}
+
 // finish ends the request of a permit.
 func finish(p forwarder.Permit, kind scheduler.ResultKind) {
 	p.(*permit).result = scheduler.Result{Kind: kind}
@@ -170,7 +177,7 @@
 	for a.Waiting() < maxLateRetries+1 {
 		time.Sleep(time.Millisecond)
 	}
-	a.Block([]quarantiner.Fingerprint{7})
+	a.MergeCrashFacts(threeCrashes)
 	time.Sleep(crashNoticeTime + 100*time.Millisecond)
 	for _, p := range busy {
 		finish(p, scheduler.ResultAnswered)
--- a/admitter/dispatcher.go
+++ b/admitter/dispatcher.go
@@ -62,6 +62,7 @@
 	r := scheduler.Result{
 		Kind: scheduler.ResultKind(d.Kind), Took: d.Took, ColdFor: d.ColdFor, HasLoad: d.Slots > 0,
 		Load: pimento.LoadReport{InFlight: d.InFlight, Waiting: d.Waiting, Slots: d.Slots, Slowness: d.Slowness},
+		Down: d.Down, Unsent: d.Unsent,
 	}
 	key := poolKey{service: d.Service, index: d.Pool}
 	a.observeReportedLimit(key, d.Ticket, r.Kind, pimento.LimitNotice{Named: d.Limited, Rate: d.Limit})
@@ -85,6 +86,7 @@
 // still run, but their end can no longer be reported.
 func (a *Admitter) HandleClosed(from *messenger.Link) {
 	a.init()
+	now := time.Now()
 	a.cancelMatching(func(p *pool) (ids []uint64) {
 		for id, w := range p.waiting {
 			if w.link == from {
@@ -93,7 +95,7 @@
 		}
 		for id, l := range p.links {
 			if l == from {
-				delete(p.links, id)
+				a.recordLost(now, p, id)
 				ids = append(ids, id)
 			}
 		}
@@ -120,14 +122,15 @@
 	}
 }
 
-// Report returns the requests per key and the crash reports since the last
-// report, and the present capacities of upstreams. Pools of services without
-// keys report no load and no capacity.
-func (a *Admitter) Report() messenger.Report {
+// Report returns, for the leader of an epoch, the requests per key since the last
+// report, the present capacities of upstreams and the crashes that its state has not
+// shown. Pools of services without keys report no load and no capacity.
+func (a *Admitter) Report(epoch uint64) messenger.Report {
 	a.init()
+	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	report := messenger.Report{CrashReports: a.quarantine.CrashReports(), Limits: a.limits.FreshReports(time.Now())}
+	report := messenger.Report{CrashFacts: a.quarantine.Reports(now, epoch), Limits: a.limits.FreshReports(now)}
 	for key, p := range a.pools {
 		s, _ := a.state.Service(key.service)
 		if s.Sharing != pimento.SharingKeyed {
@@ -137,7 +140,7 @@
 			report.Loads = append(report.Loads, messenger.KeyLoad{Service: key.service, Key: k, Count: n})
 		}
 		clear(p.loads)
-		for name, c := range p.machine.Capacities(time.Now()) {
+		for name, c := range p.machine.Capacities(now) {
 			report.Capacities = append(report.Capacities, messenger.UpstreamCapacity{Upstream: name, Capacity: c})
 		}
 	}
--- a/admitter/limits.go
+++ b/admitter/limits.go
@@ -30,7 +30,7 @@
 			return
 		}
 		if issued, ok := p.issued[ticket]; ok {
-			a.limits.Observe(now, issued.at, issued.upstream, n)
+			a.limits.Observe(now, issued.at, issued.run.Upstream, n)
 		}
 	})
 }
@@ -66,7 +66,7 @@
 	limits := a.limits.InForce(now)
 	var callbacks []func()
 	for _, p := range a.pools {
-		callbacks = append(callbacks, p.applyDecisions(p.machine.SetLimits(now, limits))...)
+		callbacks = append(callbacks, a.applyDecisions(now, p, p.machine.SetLimits(now, limits))...)
 	}
 	return changes, callbacks
 }
--- /dev/null
+++ b/admitter/probe.go
@@ -0,0 +1,81 @@
+package admitter
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/quarantiner"
+)
+
+const (
+	// probeInterval is the time between two probes of a run that is suspected to have
+	// crashed.
+	probeInterval = time.Second
+	// probeTimeout bounds such a probe.
+	probeTimeout = 600 * time.Millisecond
+	// maxProbes bounds the probes that begin in one tick.
+	maxProbes = 16
+)
+
+// runsToProbe returns the entries of suspected runs that are to be probed now: a run
+// that gets no requests gives no other evidence. The caller holds mu.
+func (a *Admitter) runsToProbe(now time.Time) []pimento.Server {
+	open := a.quarantine.OpenRuns()
+	if len(open) == 0 {
+		clear(a.probes)
+		return nil
+	}
+	var due []pimento.Server
+	for _, run := range open {
+		s, ok := a.entryOf(run)
+		if !ok || now.Sub(a.probes[run]) < probeInterval || len(due) == maxProbes {
+			continue
+		}
+		a.probes[run] = now
+		due = append(due, s)
+	}
+	return due
+}
+
+// entryOf returns the known entry of a run. The caller holds mu.
+func (a *Admitter) entryOf(run quarantiner.Run) (pimento.Server, bool) {
+	for _, u := range a.state.Upstreams {
+		if quarantiner.RunOf(u.Server) == run {
+			return u.Server, true
+		}
+	}
+	return pimento.Server{}, false
+}
+
+// probeRuns probes upstreams in the background.
+func (a *Admitter) probeRuns(list []pimento.Server) {
+	for _, s := range list {
+		go a.probeRun(s)
+	}
+}
+
+// probeRun asks whether an upstream answers. Only an answer and a refused connection
+// are evidence.
+func (a *Admitter) probeRun(s pimento.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	client := a.client(s)
+	if client.HealthPath == "" {
+		return
+	}
+	sentAt := time.Now()
+	_, _, err := client.Probe(ctx, client.HealthPath)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	switch {
+	case err == nil:
+		a.quarantine.Answered(now, quarantiner.RunOf(s), sentAt, 0)
+	case errors.Is(err, syscall.ECONNREFUSED):
+		a.quarantine.Down(now, quarantiner.RunOf(s))
+	}
+	a.keepFindings()
+}
--- a/connector/client.go
+++ b/connector/client.go
@@ -233,7 +233,9 @@
 	if cn == nil {
 		var err error
 		if cn, err = c.dial(ctx); err != nil {
-			return pimento.Answer{}, pimento.AnswerMetadata{}, pimento.NotRun(pimento.ReasonUpstreamLost, err.Error())
+			outcome := pimento.NotRun(pimento.ReasonUpstreamLost, err.Error())
+			outcome.Cause = err
+			return pimento.Answer{}, pimento.AnswerMetadata{}, outcome
 		}
 	}
 	e := &exchange{client: c, conn: cn, request: r}
--- a/fault.go
+++ b/fault.go
@@ -147,8 +147,13 @@
 	RetryAfter time.Duration
 	// By is the process that refused; empty: the one that received the request.
 	By ProcessID
+	// Cause is the error behind it; nil: none, or it came from another process.
+	Cause error
 }
 
+// Unwrap returns the cause.
+func (e *OutcomeError) Unwrap() error { return e.Cause }
+
 // Error names outcome and reason.
 func (e *OutcomeError) Error() string {
 	if e.Detail == "" {
--- a/leader/cluster_test.go
+++ b/leader/cluster_test.go
@@ -508,9 +508,7 @@
 	defer p.mu.Unlock()
 	p.versions = s.Versions
 	p.limits.Merge(time.Now(), s.Limits)
-	for _, f := range s.Blocked {
-		p.quarantine.Block(time.Now(), f)
-	}
+	p.quarantine.Merge(time.Now(), s.CrashFacts)
 	if s.Roster != nil {
 		p.roster = s.Roster
 	}
@@ -580,15 +578,15 @@
 	base := int(time.Since(p.cluster.started)/(4*time.Second)) * 9001
 	var out []messenger.KeyLoad
 	p.mu.Lock()
-	crashes := p.quarantine.CrashReports()
+	crashes := p.quarantine.Reports(time.Now(), p.leader.Term().Epoch)
 	p.mu.Unlock()
 	if p.cluster.hasNoLoad() {
-		return messenger.Report{Limits: p.cluster.takeLimitReports(p.self.Host), CrashReports: crashes}
+		return messenger.Report{Limits: p.cluster.takeLimitReports(p.self.Host), CrashFacts: crashes}
 	}
 	for i := range 8 {
 		out = append(out, messenger.KeyLoad{Service: simService, Key: pimento.Key((base + i*7) % 65536), Count: 2})
 	}
-	return messenger.Report{Loads: out, CrashReports: crashes}
+	return messenger.Report{Loads: out, CrashFacts: crashes}
 }
 
 // takeLimitReports returns what a host reports of limits, once.
--- a/leader/crash_test.go
+++ b/leader/crash_test.go
@@ -90,8 +90,8 @@
 	if p.quarantine.RetryAfter(now, crashing) > 0 {
 		return false
 	}
-	p.quarantine.ConnectionBroke(now, name, crashing)
-	p.quarantine.Restarted(now, name)
+	p.quarantine.ConnectionBroke(now, quarantiner.Run{Upstream: name, Started: now.UnixMilli()}, crashing)
+	p.quarantine.Listed(now, map[pimento.UpstreamName]quarantiner.Listing{name: {Started: now.UnixMilli() + 1}})
 	return true
 }
 
--- a/leader/heartbeat.go
+++ b/leader/heartbeat.go
@@ -126,21 +126,23 @@
 	}
 	l.elector.HandleReply(sentAt, m.process.ID, r.Epoch, r.Confirmed)
 	if l.term != nil {
-		l.term.applyReport(now, r.Report)
-		l.logCrashReports(m.process.ID, r.Report.CrashReports)
+		l.logCrashes(m.process.ID, l.term.applyReport(now, r.Report))
 	}
 }
 
-// logCrashReports logs the crash reports of a member that were counted.
-func (l *Leader) logCrashReports(from pimento.ProcessID, reports []quarantiner.Fingerprint) {
-	for _, p := range reports {
-		l.Events.Emit(pimento.EventCrashCounted, "Fingerprint", fmt.Sprintf("%016x", uint64(p)), "Evidence", quarantiner.EvidenceReport,
-			"Crashes", l.term.quarantine.Crashes(p), "From", from)
+// logCrashes logs the crashes that a member has reported and that were news.
+func (l *Leader) logCrashes(from pimento.ProcessID, news []quarantiner.Fact) {
+	for _, f := range news {
+		if f.Cleared {
+			continue
+		}
+		l.Events.Emit(pimento.EventCrashCounted, "Fingerprint", fmt.Sprintf("%016x", uint64(f.Fingerprint)), "Evidence", quarantiner.EvidenceReport,
+			"Upstream", f.Run.Upstream, "Started", f.Run.StartedAt(), "Crashes", l.term.crashes.Crashes(f.Fingerprint), "From", from)
 	}
 }
 
-// applyReport adds a member's measurements.
-func (t *term) applyReport(now time.Time, r messenger.Report) {
+// applyReport adds a member's measurements, and returns the crashes that were news.
+func (t *term) applyReport(now time.Time, r messenger.Report) []quarantiner.Fact {
 	t.loads.add(now, r.Loads)
 	for _, s := range r.Capacities {
 		if old, ok := t.capacities[s.Upstream]; ok {
@@ -149,13 +151,7 @@
 		t.capacities[s.Upstream] = s.Capacity
 	}
 	t.limits.Merge(now, r.Limits)
-	for _, p := range r.CrashReports {
-		if t.quarantine.CountCrash(now, p) {
-			t.blocked = slices.DeleteFunc(t.blocked, func(p quarantiner.Fingerprint) bool { return !t.quarantine.Blocked(now, p) })
-			t.blocked = append(t.blocked, p)
-			t.versions.Blocked++
-		}
-	}
+	return t.crashes.Merge(now, r.CrashFacts)
 }
 
 // capacitySmoothing is the weight of a new report of an upstream's capacity. It
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -150,8 +150,7 @@
 	members      map[pimento.ProcessID]*member
 	upstreams    registry
 	loads        loads
-	quarantine   *quarantiner.Machine
-	blocked      []quarantiner.Fingerprint        // requests that all processes refuse
+	crashes      quarantiner.Book                 // that members have reported
 	capacities   map[pimento.UpstreamName]float64 // requests per second
 	limits       limiter.Book
 	versions     messenger.Versions
@@ -325,7 +324,6 @@
 	}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	t.loads.init()
-	t.quarantine = quarantiner.New()
 	l.term = t
 	l.keeper = keeper.New(l.KeeperTiming)
 	l.keeper.Adopt(now, l.assignment)
@@ -351,9 +349,7 @@
 	l.sendHeartbeats(now)
 	if !now.Before(t.reportAt) {
 		t.reportAt = now.Add(l.ElectorTiming.HeartbeatInterval)
-		report := l.Member.Report()
-		t.applyReport(now, report)
-		l.logCrashReports(l.Self.ID, report.CrashReports)
+		l.logCrashes(l.Self.ID, t.applyReport(now, l.Member.Report()))
 	}
 	if !t.listing && !now.Before(t.listAt) {
 		l.readUpstreams(now)
--- a/leader/push.go
+++ b/leader/push.go
@@ -60,6 +60,7 @@
 	t.versions.Epoch = l.elector.Term().Epoch
 	t.versions.Upstreams = t.upstreams.version
 	t.versions.Manifest = l.Member.Versions().Manifest
+	t.versions.CrashFacts = t.crashes.Version()
 	l.updateRoster()
 	l.updateLimits(timekeeper.Now())
 	if state := l.missingState(l.Self.ID, l.Member.Versions(), t.selfSnapshot); state != nil {
@@ -163,8 +164,8 @@
 	if have.Owners < t.versions.Owners && l.mayDispatch(id) {
 		out.Owners, found = ownerChanges(t.owners, acked.owners), true
 	}
-	if have.Blocked < t.versions.Blocked {
-		out.Blocked, found = t.blocked, true
+	if have.CrashFacts < t.versions.CrashFacts {
+		out.CrashFacts, found = t.crashes.Since(timekeeper.Now(), have.CrashFacts), true
 	}
 	if have.Limits < t.versions.Limits {
 		out.Limits, found = t.limits.Reports(timekeeper.Now()), true
--- a/messenger/encoding_test.go
+++ b/messenger/encoding_test.go
@@ -24,9 +24,19 @@
 		Lacks bool
 	}
 	wireReport struct {
-		Loads   []KeyLoad
-		Speeds  []wireSpeed
-		Strikes []uint64
+		Loads      []KeyLoad
+		Speeds     []wireSpeed
+		CrashFacts []wireCrashFact
+	}
+	wireCrashFact struct {
+		Fingerprint uint64       `cbor:"1,keyasint"`
+		Run         wireCrashRun `cbor:"2,keyasint"`
+		Cleared     bool         `cbor:"3,keyasint"`
+		Age         int64        `cbor:"4,keyasint"`
+	}
+	wireCrashRun struct {
+		Upstream string `cbor:"1,keyasint"`
+		Started  int64  `cbor:"2,keyasint"`
 	}
 	wireSpeed struct {
 		Upstream string
@@ -72,7 +82,8 @@
 		Upstreams *UpstreamList
 		Owners    *OwnerList
 		Manifest  []byte
-		Blocked   []uint64
+
+		CrashFacts []wireCrashFact
 	}
 )
 
@@ -81,7 +92,9 @@
 // were renamed without a tag.
 func TestFieldNamesOnTheWire(t *testing.T) {
 	term := pimento.Term{Epoch: 7, Leader: "a", Confirmers: []pimento.ProcessID{"a", "b"}, Prior: [][]pimento.ProcessID{{"a"}}}
-	versions := Versions{Epoch: 7, Roster: 1, Upstreams: 2, Owners: 3, Manifest: 4, Blocked: 5}
+	versions := Versions{Epoch: 7, Roster: 1, Upstreams: 2, Owners: 3, Manifest: 4, CrashFacts: 5}
+	facts := []quarantiner.Fact{{Fingerprint: 7, Run: quarantiner.Run{Upstream: "u", Started: 1_800_000_000_123}, Cleared: true, Age: time.Second}}
+	wireFacts := []wireCrashFact{{Fingerprint: 7, Run: wireCrashRun{Upstream: "u", Started: 1_800_000_000_123}, Cleared: true, Age: int64(time.Second)}}
 	loads := []KeyLoad{{Service: "s", Key: 9, Count: 2}}
 	record := pimento.Record{ID: "r", Service: "s", Runner: "a", State: pimento.RecordRunning}
 	process := pimento.Process{
@@ -103,13 +116,13 @@
 			"heartbeat reply with a report", 7,
 			wireHeartbeatReply{
 				Epoch: 7, Confirmed: true, Leaving: true, HasStore: true, Versions: versions,
-				Report: wireReport{Loads: loads, Speeds: []wireSpeed{{Upstream: "u", Capacity: 12.5}}, Strikes: []uint64{7, 8}},
+				Report: wireReport{Loads: loads, Speeds: []wireSpeed{{Upstream: "u", Capacity: 12.5}}, CrashFacts: wireFacts},
 			},
 			Message{HeartbeatReply: &HeartbeatReply{
 				Epoch: 7, Confirmed: true, Leaving: true, HasStore: true, Versions: versions,
 				Report: Report{
 					Loads: loads, Capacities: []UpstreamCapacity{{Upstream: "u", Capacity: 12.5}},
-					CrashReports: []quarantiner.Fingerprint{7, 8},
+					CrashFacts: facts,
 				},
 			}},
 		},
@@ -126,7 +139,7 @@
 					Processes: []pimento.Process{process},
 					Pools:     []wirePool{{Service: "s", Index: 1, Line: []string{"a", "b"}, Round: 5, Near: [2]uint64{3, 4}}},
 				},
-				Blocked: []uint64{7},
+				CrashFacts: wireFacts,
 			},
 			Message{State: &State{
 				Versions: versions,
@@ -136,7 +149,7 @@
 						Service: "s", Index: 1, PreferenceList: []pimento.ProcessID{"a", "b"}, Generation: 5, NearSince: [2]uint64{3, 4},
 					}},
 				},
-				Blocked: []quarantiner.Fingerprint{7},
+				CrashFacts: facts,
 			}},
 		},
 		{
--- a/messenger/state.go
+++ b/messenger/state.go
@@ -25,8 +25,9 @@
 	Upstreams uint64
 	Owners    uint64
 	Manifest  uint64
-	Blocked   uint64
 	Limits    uint64
+	// CrashFacts is the version of the leader's book of crashes.
+	CrashFacts uint64 `cbor:",omitempty"`
 }
 
 // HeartbeatReply is the reply of a member.
@@ -41,10 +42,10 @@
 
 // Report is what a process measured.
 type Report struct {
-	Loads        []KeyLoad
-	Capacities   []UpstreamCapacity        `json:"Speeds"`
-	CrashReports []quarantiner.Fingerprint `json:"Strikes"`    // suspects, once for each crash
-	Limits       []limiter.Report          `cbor:",omitempty"` // what answers have said about limits of upstreams
+	Loads      []KeyLoad
+	Capacities []UpstreamCapacity `json:"Speeds"`
+	Limits     []limiter.Report   `cbor:",omitempty"` // what answers have said about limits of upstreams
+	CrashFacts []quarantiner.Fact `cbor:",omitempty"` // those that the leader's state has not shown
 }
 
 // KeyLoad is the number of requests for a key.
@@ -83,9 +84,11 @@
 	Roster    *Roster
 	Upstreams *UpstreamList
 	Owners    *OwnerList
-	Manifest  []byte // as stored
-	Blocked   []quarantiner.Fingerprint
+	Manifest  []byte           // as stored
 	Limits    []limiter.Report `cbor:",omitempty"` // all that the leader knows
+	// CrashFacts are those that were added or cleared since the version that the member
+	// has.
+	CrashFacts []quarantiner.Fact `cbor:",omitempty"`
 }
 
 // Roster lists the processes, and the pools with their dispatchers.
@@ -180,4 +183,6 @@
 	ColdFor  time.Duration       `cbor:"10,keyasint,omitempty"`
 	Limited  bool                `cbor:"11,keyasint,omitempty"` // the answer named Limit
 	Limit    pimento.RateLimit   `cbor:"12,keyasint,omitempty"`
+	Down     bool                `cbor:"21,keyasint,omitempty"` // nothing listens at the upstream's address
+	Unsent   bool                `cbor:"22,keyasint,omitempty"` // nothing was sent to the upstream
 }
--- a/quarantiner/finding.go
+++ b/quarantiner/finding.go
@@ -1,10 +1,6 @@
 package quarantiner
 
-import (
-	"time"
-
-	"pimentorelay.example/pimento"
-)
+import "time"
 
 // FindingKind says what was decided about a request.
 type FindingKind string
@@ -13,7 +9,8 @@
 const (
 	FindingCounted FindingKind = "Counted" // a crash counts against a request
 	FindingDropped FindingKind = "Dropped" // a broken connection counts for nothing
-	FindingReset   FindingKind = "Reset"   // the counted crashes were forgotten
+	FindingDoubted FindingKind = "Doubted" // it counts for nothing, unless the next run has answered
+	FindingReset   FindingKind = "Reset"   // the counted crashes were cleared
 	FindingRefused FindingKind = "Refused" // the request is refused from now on
 )
 
@@ -22,11 +19,11 @@
 
 // The grounds of findings.
 const (
-	EvidenceDown      Evidence = "Down"      // the upstream could not be reached
+	EvidenceDown      Evidence = "Down"      // nothing listens at the upstream's address
 	EvidenceRestarted Evidence = "Restarted" // it restarted, or its entry was removed
-	EvidenceAnswered  Evidence = "Answered"  // it answered a request
-	EvidenceLate      Evidence = "Late"      // it was found down or restarted after confirmWindow
-	EvidenceFull      Evidence = "Full"      // too many requests are suspected there
+	EvidenceLeft      Evidence = "Left"      // it was leaving
+	EvidenceAnswered  Evidence = "Answered"  // it, or a later copy, was answered
+	EvidenceFull      Evidence = "Full"      // there are too many suspicions
 	EvidenceReport    Evidence = "Report"    // another process says so
 )
 
@@ -37,8 +34,8 @@
 type Finding struct {
 	Kind        FindingKind
 	Fingerprint Fingerprint
-	Upstream    pimento.UpstreamName // empty if another process says so
-	Count       int                  // crashes counted against the request, before a Reset
+	Run         Run // that had the request or, for a Reset, answered it
+	Count       int // crashes counted against the request, before a Reset
 	Evidence    Evidence
 	After       time.Duration // between the break and the evidence; zero if not known
 }
--- a/quarantiner/finding_test.go
+++ b/quarantiner/finding_test.go
@@ -11,27 +11,33 @@
 // count for nothing.
 func TestFindings(t *testing.T) {
 	const bad = Fingerprint(1)
+	a := runAt("a", 0)
+	others := []Fact{{Fingerprint: bad, Run: runAt("b", 0)}, {Fingerprint: bad, Run: runAt("c", 0)}, {Fingerprint: bad, Run: runAt("d", 0)}}
 	for _, c := range []struct {
 		name string
 		run  func(m *Machine)
 		want []Finding
 	}{
 		{"counted", func(m *Machine) {
-			m.ConnectionBroke(t0, "a", bad)
-			m.Down(t0.Add(time.Second), "a")
-		}, []Finding{{Kind: FindingCounted, Fingerprint: bad, Upstream: "a", Count: 1, Evidence: EvidenceDown, After: time.Second}}},
+			m.ConnectionBroke(t0, a, bad)
+			m.Down(at(1), a)
+		}, []Finding{{Kind: FindingCounted, Fingerprint: bad, Run: a, Count: 1, Evidence: EvidenceDown, After: time.Second}}},
 		{"found late", func(m *Machine) {
-			m.ConnectionBroke(t0, "a", bad)
-			m.Restarted(t0.Add(confirmWindow+1), "a")
-		}, []Finding{{Kind: FindingDropped, Fingerprint: bad, Upstream: "a", Evidence: EvidenceLate, After: confirmWindow + 1}}},
+			m.ConnectionBroke(t0, a, bad)
+			list(m, at(30), runAt("a", 9), false)
+		}, []Finding{{Kind: FindingCounted, Fingerprint: bad, Run: a, Count: 1, Evidence: EvidenceRestarted, After: 30 * time.Second}}},
 		{"upstream answers", func(m *Machine) {
-			m.ConnectionBroke(t0, "a", bad)
-			m.Answered("a", t0.Add(1), 2)
-		}, []Finding{{Kind: FindingDropped, Fingerprint: bad, Upstream: "a", Evidence: EvidenceAnswered}}},
+			m.ConnectionBroke(t0, a, bad)
+			m.Answered(at(2), a, at(1), 2)
+		}, []Finding{{Kind: FindingDoubted, Fingerprint: bad, Run: a, Evidence: EvidenceAnswered, After: 2 * time.Second}}},
+		{"a copy is answered", func(m *Machine) {
+			m.ConnectionBroke(t0, a, bad)
+			m.Answered(at(2), runAt("b", 0), at(1), bad)
+		}, []Finding{{Kind: FindingDropped, Fingerprint: bad, Run: a, Evidence: EvidenceAnswered, After: 2 * time.Second}}},
 		{"told by another process, twice", func(m *Machine) {
-			m.BlockReported(t0, bad)
-			m.BlockReported(t0, bad)
-		}, []Finding{{Kind: FindingRefused, Fingerprint: bad, Evidence: EvidenceReport}}},
+			m.Merge(t0, others)
+			m.Merge(t0, others)
+		}, []Finding{{Kind: FindingRefused, Fingerprint: bad, Run: others[2].Run, Count: 3, Evidence: EvidenceReport}}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -48,7 +54,8 @@
 	is := is.New(t)
 	m := New()
 	for i := range 2 * maxFindings {
-		m.BlockReported(t0, Fingerprint(i+1))
+		m.ConnectionBroke(t0, runAt("a", 0), Fingerprint(i+1))
 	}
+	m.Down(t0, runAt("a", 0))
 	is.Equal(len(m.Findings()), maxFindings)
 }
--- a/quarantiner/late_test.go
+++ b/quarantiner/late_test.go
@@ -37,11 +37,16 @@
 // request was sent.
 func crashUpstreams(pause, found time.Duration) (sent []time.Time) {
 	m := New()
+	upstreams := make(map[pimento.UpstreamName]Listing)
+	for i := range 1000 {
+		upstreams[crashedUpstream(i).Upstream] = Listing{Started: t0.UnixMilli()}
+	}
 	end := t0.Add(40 * time.Second)
 	next, reported := t0, 0
 	for now := t0; now.Before(end); now = now.Add(10 * time.Millisecond) {
 		for reported < len(sent) && !now.Before(sent[reported].Add(found)) {
-			m.Restarted(now, crashedUpstream(reported))
+			upstreams[crashedUpstream(reported).Upstream] = Listing{Started: now.UnixMilli()}
+			m.Listed(now, upstreams)
 			reported++
 		}
 		if now.Before(next) || m.RetryAfter(now, 1) > 0 {
@@ -54,7 +59,10 @@
 	return sent
 }
 
-func crashedUpstream(i int) pimento.UpstreamName { return pimento.UpstreamName(fmt.Sprint("u", i)) }
+// crashedUpstream returns one of the runs that are there from the beginning.
+func crashedUpstream(i int) Run {
+	return Run{Upstream: pimento.UpstreamName(fmt.Sprint("u", i)), Started: t0.UnixMilli()}
+}
 
 // lateRetries counts the retries later than crashNoticeTime after the third.
 func lateRetries(sent []time.Time) int {
@@ -73,12 +81,39 @@
 	is := is.New(t)
 	m := New()
 	now := t0
+	upstreams := make(map[pimento.UpstreamName]Listing)
+	for i := range 7 {
+		upstreams[crashedUpstream(i).Upstream] = Listing{Started: t0.UnixMilli()}
+	}
 	for i := range 40 {
-		m.ConnectionBroke(now, crashedUpstream(i%7), 1)
+		run := crashedUpstream(i % 7)
+		run.Started = upstreams[run.Upstream].Started
+		m.ConnectionBroke(now, run, 1)
 		now = now.Add(50 * time.Millisecond)
-		m.Answered(crashedUpstream(i%7), now.Add(-10*time.Millisecond), 2)
+		m.Answered(now, run, now.Add(-10*time.Millisecond), 2)
 		is.Equal(m.RetryAfter(now, 1), time.Duration(0))
-		m.Restarted(now.Add(time.Second), crashedUpstream(i%7)) // a rolling restart
+		upstreams[run.Upstream] = Listing{Started: now.Add(time.Second).UnixMilli()} // a rolling restart
+		m.Listed(now.Add(time.Second), upstreams)
 	}
 	is.True(!m.Blocked(now, 1))
 }
+
+// TestResetOfAllConnectionsRefusesForAMoment guards against the lasting refusal of
+// popular requests after a moment in which one machine lost all its connections.
+func TestResetOfAllConnectionsRefusesForAMoment(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	const popular, upstreams = 20, 8
+	for p := range popular {
+		for i := range upstreams {
+			m.ConnectionBroke(t0, crashedUpstream(i), Fingerprint(p+1))
+		}
+	}
+	for i := range upstreams {
+		is.Equal(m.RetryAfter(at(0.01), 1) > 0, i <= upstreams-CrashLimit)
+		m.Answered(at(0.02), crashedUpstream(i), at(0.01), 0)
+	}
+	for p := range popular {
+		is.Equal(m.RetryAfter(at(0.03), Fingerprint(p+1)), time.Duration(0))
+	}
+}
--- a/router/follower.go
+++ b/router/follower.go
@@ -72,8 +72,9 @@
 
 // Report implements leader.Member.
 func (f *follower) Report() messenger.Report {
-	report := f.router.admitter.Report()
-	if epoch := f.router.leader.Term().Epoch; f.reportedTo.Swap(epoch) != epoch {
+	epoch := f.router.leader.Term().Epoch
+	report := f.router.admitter.Report(epoch)
+	if f.reportedTo.Swap(epoch) != epoch {
 		report.Limits = f.router.admitter.KnownLimits() // a new leader knows none
 	}
 	return report
@@ -104,11 +105,11 @@
 		f.updateOwners(now, list)
 		f.versions.Owners = s.Versions.Owners
 	}
-	f.versions.Blocked = max(f.versions.Blocked, s.Versions.Blocked)
+	f.versions.CrashFacts = max(f.versions.CrashFacts, s.Versions.CrashFacts)
 	f.versions.Limits = max(f.versions.Limits, s.Versions.Limits)
 	snapshot := f.snapshot()
 	f.mu.Unlock()
-	f.router.admitter.Block(s.Blocked)
+	f.router.admitter.MergeCrashFacts(s.CrashFacts)
 	f.router.admitter.MergeLimits(s.Limits)
 	if s.Manifest != nil {
 		f.adoptManifest(s.Manifest, manifestOrigin{From: string(f.router.leader.Term().Leader)})
--- a/router/follower_test.go
+++ b/router/follower_test.go
@@ -94,7 +94,7 @@
 			u.State, out = pimento.StateLeaving, []pimento.DomainName{"d1"}
 		}
 		return &messenger.State{
-			Versions:  messenger.Versions{Epoch: epoch, Roster: version, Upstreams: version, Owners: version, Blocked: version},
+			Versions:  messenger.Versions{Epoch: epoch, Roster: version, Upstreams: version, Owners: version, CrashFacts: version},
 			Roster:    &messenger.Roster{Pools: make([]pimento.Pool, version)},
 			Upstreams: &messenger.UpstreamList{Whole: whole, Upstreams: []messenger.Upstream{u}, Out: out},
 			Owners: &messenger.OwnerList{Whole: whole, Owners: []messenger.Owner{{
@@ -120,7 +120,7 @@
 			for _, s := range c.states {
 				f.Apply(s)
 			}
-			is.Equal(f.Versions(), messenger.Versions{Epoch: 2, Roster: c.last, Upstreams: c.last, Owners: c.last, Blocked: c.last})
+			is.Equal(f.Versions(), messenger.Versions{Epoch: 2, Roster: c.last, Upstreams: c.last, Owners: c.last, CrashFacts: c.last})
 			is.Equal(len(f.roster.Pools), int(c.last))
 			is.Equal(f.upstreams["u1"].State, pimento.StateArriving)
 			is.Equal(len(f.domainsOut), 0)
--- a/router/observer.go
+++ b/router/observer.go
@@ -10,7 +10,6 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"pimentorelay.example/pimento"
-	"pimentorelay.example/pimento/admitter"
 	"pimentorelay.example/pimento/forwarder"
 	"pimentorelay.example/pimento/limiter"
 	"pimentorelay.example/pimento/quarantiner"
@@ -106,11 +105,11 @@
 
 // crashFound logs and records a finding about a request that may crash upstreams.
 // Broken connections that count for nothing are not kept on the timeline.
-func (o *observer) crashFound(f admitter.CrashFinding) {
+func (o *observer) crashFound(f quarantiner.Finding) {
 	o.count("relay_crash_findings_total", "Kind", f.Kind, "Evidence", f.Evidence)
 	attributes := []any{"Fingerprint", fmt.Sprintf("%016x", uint64(f.Fingerprint)), "Evidence", f.Evidence, "Crashes", f.Count}
-	if f.Upstream != "" {
-		attributes = append(attributes, "Upstream", f.Upstream, "Started", f.Started, "After", roundToMillis(f.After))
+	if f.Run.Upstream != "" {
+		attributes = append(attributes, "Upstream", f.Run.Upstream, "Started", f.Run.StartedAt(), "After", roundToMillis(f.After))
 	}
 	switch f.Kind {
 	case quarantiner.FindingCounted:
--- a/scheduler/slowness.go
+++ b/scheduler/slowness.go
@@ -30,6 +30,8 @@
 	HasLoad bool
 	ColdFor time.Duration // as reported by the upstream; zero: not reported
 	Limit   pimento.LimitNotice
+	Down    bool // nothing listens at the upstream's address
+	Unsent  bool // nothing was sent to the upstream
 }
 
 const (
