Check again whether a request is refused, before its permit and before it is sent

Cause: the quarantine was asked once, when a request came to its dispatcher. Change: the sender asks its own book before it asks for a permit, the dispatcher asks when the request comes and again when its wait ends, and the sender asks directly before it sends. A permit that is not used is returned as such: nothing was sent, so nothing is suspected. When a block has ended, one copy at a time gets a permit of a dispatcher. New: TestPermitOfRefusedRequestIsNotUsed, TestOneCopyAtATimeAfterARefusal.

--- a/admitter/acquire.go
+++ b/admitter/acquire.go
@@ -222,6 +222,10 @@
 
 // Serve implements forwarder.Permit.
 func (p *permit) Serve(ctx context.Context, r *pimento.Request, body io.Reader) (pimento.Answer, pimento.AnswerMetadata, error) {
+	if wait := p.admitter.quarantineWait(p.fingerprint); wait > 0 {
+		p.result = scheduler.Result{Kind: scheduler.ResultCanceled, Unsent: true}
+		return pimento.Answer{}, pimento.AnswerMetadata{}, quarantineRefusal(wait)
+	}
 	sentAt := time.Now()
 	answer, metadata, err := p.client.Send(ctx, r, body)
 	p.result = scheduler.Result{Kind: resultKind(answer, err), Took: time.Since(sentAt), Load: metadata.Load, HasLoad: metadata.HasLoad, ColdFor: metadata.ColdFor, Limit: metadata.Limit}
--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -274,7 +274,7 @@
 	a.lastTicket++
 	t.ID = a.lastTicket
 	w.deadline = t.Deadline
-	if wait := a.quarantine.RetryAfter(now, w.fingerprint); wait > 0 {
+	if wait := a.refusedFor(now, w.fingerprint); wait > 0 {
 		return t.ID, []func(){func() { w.answer(scheduler.Decision{Ticket: t.ID, Refusal: quarantineRefusal(wait)}) }}
 	}
 	p.waiting[t.ID] = w
@@ -287,7 +287,8 @@
 }
 
 // applyDecisions ends the wait of the tickets decided on and returns the
-// callbacks that deliver the decisions. The caller holds mu, and runs the callbacks without it.
+// callbacks that deliver the decisions. A request that has come to be refused while it
+// waited gets no permit. The caller holds mu, and runs the callbacks without it.
 func (a *Admitter) applyDecisions(now time.Time, p *pool, decisions []scheduler.Decision) []func() {
 	var callbacks []func()
 	for len(decisions) > 0 {
@@ -298,6 +299,10 @@
 			continue
 		}
 		delete(p.waiting, d.Ticket)
+		if wait := a.refusedFor(now, w.fingerprint); wait > 0 && d.Refusal == nil {
+			decisions = append(decisions, p.machine.Cancel(now, d.Ticket)...)
+			d = scheduler.Decision{Ticket: d.Ticket, Refusal: quarantineRefusal(wait)}
+		}
 		if d.Refusal == nil {
 			p.issued[d.Ticket] = issuedPermit{run: a.runOf(d.Upstream), fingerprint: w.fingerprint, at: now, deadline: w.deadline}
 		}
--- a/admitter/crash.go
+++ b/admitter/crash.go
@@ -16,6 +16,10 @@
 	return refusal
 }
 
+// trialRetryAfter is how long a request is refused while the first copy after a block
+// runs.
+const trialRetryAfter = 500 * time.Millisecond
+
 // quarantineWait returns how long a request is refused by what this process knows,
 // zero if it may be sent.
 func (a *Admitter) quarantineWait(p quarantiner.Fingerprint) time.Duration {
@@ -25,6 +29,31 @@
 	return a.quarantine.RetryAfter(now, p)
 }
 
+// refusedFor returns how long a request gets no permit here, zero if it may get one.
+// After a block, one copy at a time does. The caller holds mu.
+func (a *Admitter) refusedFor(now time.Time, p quarantiner.Fingerprint) time.Duration {
+	if wait := a.quarantine.RetryAfter(now, p); wait > 0 {
+		return wait
+	}
+	if a.quarantine.Crashes(p) >= quarantiner.CrashLimit && a.hasPermit(p) {
+		return trialRetryAfter
+	}
+	return 0
+}
+
+// hasPermit reports whether a copy of a request has a permit of this process. The
+// caller holds mu.
+func (a *Admitter) hasPermit(p quarantiner.Fingerprint) bool {
+	for _, pool := range a.pools {
+		for _, issued := range pool.issued {
+			if issued.fingerprint == p {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // recordSent passes the result of a request that this process has sent to the
 // quarantine. Its dispatcher does the same, but may not hear of it.
 func (a *Admitter) recordSent(p *permit) {
--- a/admitter/crash_test.go
+++ b/admitter/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -207,3 +208,47 @@
 	_, err := n.acquire(t, "b")
 	is.NoErr(err)
 }
+
+// TestPermitOfRefusedRequestIsNotUsed checks that a request that is found to crash
+// upstreams after it got a permit is not sent, and that this is no suspicion.
+func TestPermitOfRefusedRequestIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(t)
+	p, _ := n.mustAcquire(t, "b")
+	n.nodes["b"].MergeCrashFacts(threeCrashes)
+	var out *pimento.OutcomeError
+	_, _, err := p.Serve(t.Context(), request(testTimeout), nil)
+	is.True(errors.As(err, &out))
+	is.Equal(out.Outcome, pimento.OutcomeNotRun)
+	is.Equal(out.Reason, pimento.ReasonQuarantined)
+	is.True(out.RetryAfter > 0)
+	p.Done(err)
+	for _, id := range []pimento.ProcessID{"a", "b"} {
+		a := n.nodes[id]
+		a.mu.Lock()
+		is.True(!a.quarantine.HasSuspicions())
+		a.mu.Unlock()
+	}
+}
+
+// TestOneCopyAtATimeAfterARefusal checks that only one copy of a request runs when its
+// refusal has ended, and that all may once that is answered.
+func TestOneCopyAtATimeAfterARefusal(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(t)
+	old := slices.Clone(threeCrashes)
+	for i := range old {
+		old[i].Age = 90 * time.Second
+	}
+	n.nodes["a"].MergeCrashFacts(old)
+	first, _ := n.mustAcquire(t, "b")
+	var out *pimento.OutcomeError
+	_, err := n.acquire(t, "c")
+	is.True(errors.As(err, &out))
+	is.Equal(out.Reason, pimento.ReasonQuarantined)
+	is.Equal(out.RetryAfter, trialRetryAfter)
+	finish(first, scheduler.ResultAnswered)
+	for range slots {
+		n.mustAcquire(t, "c")
+	}
+}
