Count a long answer that breaks off as a break

Cause: the permit of a long answer was always returned as answered, so an upstream that crashed while it sent a long answer made no suspect, and cleared the crashes before. Change: how the body ended is reported: whole, broken off, timed out or left by its caller. A short answer that ends with its caller's context is no break any more.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -188,7 +188,7 @@
 	attempt.Avoid = append(attempt.Avoid, permit.Upstream())
 	answer, _, err := permit.Serve(ctx, r, body)
 	if err == nil {
-		answer, err = bufferAnswer(answer)
+		answer, err = bufferAnswer(ctx, answer)
 	}
 	trace.Attempts = append(trace.Attempts, Attempt{
 		Upstream: permit.Upstream(), Basis: permit.Basis(), Waited: waited, Took: time.Since(startedAt) - waited, Err: err,
@@ -197,13 +197,13 @@
 		permit.Done(err)
 		return answer, err
 	}
-	answer.Body = &hookedBody{ReadCloser: answer.Body, onClose: func() { permit.Done(nil) }}
+	answer.Body = newLongBody(ctx, r.Method, answer, permit.Done)
 	return answer, nil
 }
 
 // bufferAnswer reads a short answer whole, and sets its length if it was not
 // known beforehand.
-func bufferAnswer(answer pimento.Answer) (pimento.Answer, error) {
+func bufferAnswer(ctx context.Context, answer pimento.Answer) (pimento.Answer, error) {
 	if answer.Head.BodyLength > maxBufferedBody {
 		return answer, nil
 	}
@@ -213,7 +213,7 @@
 	}
 	if err != nil {
 		answer.Body.Close()
-		return pimento.Answer{}, pimento.Unknown(pimento.ReasonUpstreamLost, "the answer broke off: "+err.Error())
+		return pimento.Answer{}, brokenOff(ctx, err)
 	}
 	if len(data) > maxBufferedBody {
 		answer.Body = &readCloser{Reader: io.MultiReader(bytes.NewReader(data), answer.Body), Closer: answer.Body}
