Check that a dial that times out is no evidence of a crash

What callers saw: nothing reported; from the trace of BUDGET, a timed-out dial, or one that the caller's leaving had ended, counted as a crash and hid the next break.

--- a/admitter/crash_test.go
+++ b/admitter/crash_test.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"context"
 	"errors"
 	"slices"
 	"sync"
@@ -252,3 +253,58 @@
 		n.mustAcquire(t, "c")
 	}
 }
+
+// acquireInTime acquires a permit as soon as the scheduler tries the upstream again.
+func (n *network) acquireInTime(t *testing.T, id pimento.ProcessID) forwarder.Permit {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if p, err := n.acquire(t, id); err == nil {
+			return p
+		}
+	}
+	t.Fatal("no permit")
+	return nil
+}
+
+// TestDialThatTimesOutIsNoEvidence checks that only a refused connection confirms a
+// crash, at the dispatcher and at the sender, and that a dial that ended in another way
+// does not hide a later break.
+func TestDialThatTimesOutIsNoEvidence(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(t)
+	crashes := func() (count int, open bool) {
+		for _, id := range []pimento.ProcessID{"a", "b"} {
+			a := n.nodes[id]
+			a.mu.Lock()
+			count += a.quarantine.Crashes(7)
+			open = open || len(a.quarantine.OpenRuns()) > 0
+			a.mu.Unlock()
+		}
+		return count, open
+	}
+	p, _ := n.mustAcquire(t, "b")
+	broken, _ := n.mustAcquire(t, "b")
+	finish(p, scheduler.ResultUnreachable) // the dial timed out
+	finish(broken, scheduler.ResultBroken)
+	count, open := crashes()
+	is.Equal(count, 0)
+	is.True(open)
+
+	p = n.acquireInTime(t, "b")
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, _, err := p.Serve(ended, request(testTimeout), nil)
+	is.True(err != nil)
+	p.Done(err)
+	count, open = crashes()
+	is.Equal(count, 0)
+	is.True(open)
+
+	p = n.acquireInTime(t, "b")
+	_, _, err = p.Serve(t.Context(), request(testTimeout), nil) // nothing listens
+	is.True(err != nil)
+	p.Done(err)
+	count, open = crashes()
+	is.Equal(count, 2)
+	is.True(!open)
+}
--- a/admitter/probe.go
+++ b/admitter/probe.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"syscall"
 	"time"
 
@@ -24,10 +26,7 @@
 // that gets no requests gives no other evidence. The caller holds mu.
 func (a *Admitter) runsToProbe(now time.Time) []pimento.Server {
 	open := a.quarantine.OpenRuns()
-	if len(open) == 0 {
-		clear(a.probes)
-		return nil
-	}
+	maps.DeleteFunc(a.probes, func(run quarantiner.Run, _ time.Time) bool { return !slices.Contains(open, run) })
 	var due []pimento.Server
 	for _, run := range open {
 		s, ok := a.entryOf(run)
