--- a/admitter/crash_test.go
+++ b/admitter/crash_test.go
@@ -308,3 +308,27 @@
 	is.Equal(count, 2)
 	is.True(!open)
 }
+
+// TestPermitThatIsNotReturnedIsSuspected checks that a request whose end is never
+// reported counts against it if its upstream is then found restarted.
+func TestPermitThatIsNotReturnedIsSuspected(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	n := newNetwork(t)
+	_, err := n.nodes["b"].Acquire(t.Context(), request(time.Second), forwarder.AttemptState{Number: 1})
+	is.NoErr(err)
+	a := n.nodes["a"]
+	suspected := func() bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return a.quarantine.HasSuspicions()
+	}
+	for end := time.Now().Add(testTimeout); !suspected() && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(a.quarantineWait(7), time.Duration(0)) // not counted yet
+	n.setState(time.Unix(2, 0))
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	is.Equal(a.quarantine.Crashes(7), 1)
+}
--- a/quarantiner/machine_test.go
+++ b/quarantiner/machine_test.go
@@ -216,6 +216,22 @@
 	is.Equal(m.RetryAfter(at(501), 1), time.Duration(0))
 }
 
+// TestCrashSeenTwiceCountsOnce checks that a crash that another process has found is no
+// open suspicion here any more, and that a later break at the same name is one.
+func TestCrashSeenTwiceCountsOnce(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	a, b := runAt("a", 0), runAt("b", 0)
+	m.ConnectionBroke(at(1), a, 1)
+	m.ConnectionBroke(at(1), b, 1)
+	m.Merge(at(2), []Fact{{Fingerprint: 1, Run: a}, {Fingerprint: 1, Run: b}})
+	is.Equal(m.RetryAfter(at(2), 1), time.Duration(0))
+	is.True(!m.HasSuspicions())
+	m.ConnectionBroke(at(4), a, 1) // the next run, which is not known yet
+	m.Merge(at(5), []Fact{{Fingerprint: 1, Run: a, Age: 3 * time.Second}})
+	is.Equal(m.RetryAfter(at(5), 1), unconfirmedRetryAfter)
+}
+
 // TestBlockThatEndsKeepsItsCrashes checks that one more crash after a block blocks the
 // request again, for twice as long.
 func TestBlockThatEndsKeepsItsCrashes(t *testing.T) {
