--- a/admitter/crash_test.go
+++ b/admitter/crash_test.go
@@ -1,7 +1,9 @@
 package admitter
 
 import (
+	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -21,6 +23,13 @@
 	crashNoticeTime = 3 * time.Second
 )
 
+// threeCrashes are facts of the test request that another process has found.
+var threeCrashes = []quarantiner.Fact{
+	{Fingerprint: 7, Run: quarantiner.Run{Upstream: "x", Started: 1}},
+	{Fingerprint: 7, Run: quarantiner.Run{Upstream: "x", Started: 2}},
+	{Fingerprint: 7, Run: quarantiner.Run{Upstream: "y", Started: 1}},
+}
+
 // finish ends the request of a permit.
 func finish(p forwarder.Permit, kind scheduler.ResultKind) {
 	p.(*permit).result = scheduler.Result{Kind: kind}
@@ -170,7 +179,7 @@
 	for a.Waiting() < maxLateRetries+1 {
 		time.Sleep(time.Millisecond)
 	}
-	a.Block([]quarantiner.Fingerprint{7})
+	a.MergeCrashFacts(threeCrashes)
 	time.Sleep(crashNoticeTime + 100*time.Millisecond)
 	for _, p := range busy {
 		finish(p, scheduler.ResultAnswered)
@@ -200,3 +209,126 @@
 	_, err := n.acquire(t, "b")
 	is.NoErr(err)
 }
+
+// TestPermitOfRefusedRequestIsNotUsed checks that a request that is found to crash
+// upstreams after it got a permit is not sent, and that this is no suspicion.
+func TestPermitOfRefusedRequestIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(t)
+	p, _ := n.mustAcquire(t, "b")
+	n.nodes["b"].MergeCrashFacts(threeCrashes)
+	var out *pimento.OutcomeError
+	_, _, err := p.Serve(t.Context(), request(testTimeout), nil)
+	is.True(errors.As(err, &out))
+	is.Equal(out.Outcome, pimento.OutcomeNotRun)
+	is.Equal(out.Reason, pimento.ReasonQuarantined)
+	is.True(out.RetryAfter > 0)
+	p.Done(err)
+	for _, id := range []pimento.ProcessID{"a", "b"} {
+		a := n.nodes[id]
+		a.mu.Lock()
+		is.True(!a.quarantine.HasSuspicions())
+		a.mu.Unlock()
+	}
+}
+
+// TestOneCopyAtATimeAfterARefusal checks that only one copy of a request runs when its
+// refusal has ended, and that all may once that is answered.
+func TestOneCopyAtATimeAfterARefusal(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(t)
+	old := slices.Clone(threeCrashes)
+	for i := range old {
+		old[i].Age = 90 * time.Second
+	}
+	n.nodes["a"].MergeCrashFacts(old)
+	first, _ := n.mustAcquire(t, "b")
+	var out *pimento.OutcomeError
+	_, err := n.acquire(t, "c")
+	is.True(errors.As(err, &out))
+	is.Equal(out.Reason, pimento.ReasonQuarantined)
+	is.Equal(out.RetryAfter, trialRetryAfter)
+	finish(first, scheduler.ResultAnswered)
+	for range slots {
+		n.mustAcquire(t, "c")
+	}
+}
+
+// acquireInTime acquires a permit as soon as the scheduler tries the upstream again.
+func (n *network) acquireInTime(t *testing.T, id pimento.ProcessID) forwarder.Permit {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if p, err := n.acquire(t, id); err == nil {
+			return p
+		}
+	}
+	t.Fatal("no permit")
+	return nil
+}
+
+// TestDialThatTimesOutIsNoEvidence checks that only a refused connection confirms a
+// crash, at the dispatcher and at the sender, and that a dial that ended in another way
+// does not hide a later break.
+func TestDialThatTimesOutIsNoEvidence(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(t)
+	crashes := func() (count int, open bool) {
+		for _, id := range []pimento.ProcessID{"a", "b"} {
+			a := n.nodes[id]
+			a.mu.Lock()
+			count += a.quarantine.Crashes(7)
+			open = open || len(a.quarantine.OpenRuns()) > 0
+			a.mu.Unlock()
+		}
+		return count, open
+	}
+	p, _ := n.mustAcquire(t, "b")
+	broken, _ := n.mustAcquire(t, "b")
+	finish(p, scheduler.ResultUnreachable) // the dial timed out
+	finish(broken, scheduler.ResultBroken)
+	count, open := crashes()
+	is.Equal(count, 0)
+	is.True(open)
+
+	p = n.acquireInTime(t, "b")
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, _, err := p.Serve(ended, request(testTimeout), nil)
+	is.True(err != nil)
+	p.Done(err)
+	count, open = crashes()
+	is.Equal(count, 0)
+	is.True(open)
+
+	p = n.acquireInTime(t, "b")
+	_, _, err = p.Serve(t.Context(), request(testTimeout), nil) // nothing listens
+	is.True(err != nil)
+	p.Done(err)
+	count, open = crashes()
+	is.Equal(count, 2)
+	is.True(!open)
+}
+
+// TestPermitThatIsNotReturnedIsSuspected checks that a request whose end is never
+// reported counts against it if its upstream is then found restarted.
+func TestPermitThatIsNotReturnedIsSuspected(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	n := newNetwork(t)
+	_, err := n.nodes["b"].Acquire(t.Context(), request(time.Second), forwarder.AttemptState{Number: 1})
+	is.NoErr(err)
+	a := n.nodes["a"]
+	suspected := func() bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return a.quarantine.HasSuspicions()
+	}
+	for end := time.Now().Add(testTimeout); !suspected() && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(a.quarantineWait(7), time.Duration(0)) // not counted yet
+	n.setState(time.Unix(2, 0))
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	is.Equal(a.quarantine.Crashes(7), 1)
+}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -161,8 +161,7 @@
 	members      map[pimento.ProcessID]*member
 	upstreams    registry
 	loads        loads
-	quarantine   *quarantiner.Machine
-	blocked      []quarantiner.Fingerprint        // requests that all processes refuse
+	crashes      quarantiner.Book                 // that members have reported
 	capacities   map[pimento.UpstreamName]float64 // requests per second
 	limits       limiter.Book
 	versions     messenger.Versions
@@ -338,7 +337,6 @@
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	t.beganAt = now
 	t.loads.init()
-	t.quarantine = quarantiner.New()
 	l.term = t
 	l.keeper = keeper.New(l.KeeperTiming)
 	l.keeper.Adopt(now, l.assignment)
@@ -364,9 +362,7 @@
 	l.sendHeartbeats(now)
 	if !now.Before(t.reportAt) {
 		t.reportAt = now.Add(l.ElectorTiming.HeartbeatInterval)
-		report := l.Member.Report()
-		t.applyReport(now, report)
-		l.logCrashReports(l.Self.ID, report.CrashReports)
+		l.logCrashes(l.Self.ID, t.applyReport(now, l.Member.Report()))
 	}
 	if !t.listing && !now.Before(t.listAt) {
 		l.readUpstreams(now)
