Read from answers that an upstream leaves, or wants nothing for a while

An upstream that leaves says so in every answer, and one that turns a request away with 503 may say for how long it wants nothing from this process. Nothing read either header. Faulty times (negative, NaN, Inf, more than an hour, hex, dates, several values, none) are invalid, and a time counts in a 503 alone. The stand-in can leave and turn requests away. Nothing acts on it yet.

--- a/header.go
+++ b/header.go
@@ -21,6 +21,8 @@
 	HeaderCold           = "Relay-Cold"     // how long the upstream stays cold
 	HeaderLimit          = "Relay-Limit"    // requests a second from all processes together
 	HeaderHandover       = "Relay-Handover"
+	HeaderLeaving        = "Relay-Leaving" // 1: the upstream leaves
+	HeaderRetryAfter     = "Retry-After"   // seconds; of a status 503
 )
 
 // headerPrefix is common to the headers of the project's own protocol.
--- a/translator/wire.go
+++ b/translator/wire.go
@@ -126,7 +126,7 @@
 	h.Set(pimento.HeaderReason, string(out.Reason))
 	status := out.Status()
 	if status == http.StatusServiceUnavailable {
-		h.Set("Retry-After", strconv.FormatFloat(max(out.RetryAfter, minRetryAfter).Seconds(), 'f', 3, 64))
+		h.Set(pimento.HeaderRetryAfter, strconv.FormatFloat(max(out.RetryAfter, minRetryAfter).Seconds(), 'f', 3, 64))
 	}
 	return status
 }
@@ -162,6 +162,10 @@
 		m.ColdFor = d
 	}
 	m.Limit = pimento.ReadLimitNotice(h.Values(pimento.HeaderLimit))
+	m.Leaving = pimento.ReadLeaving(h.Values(pimento.HeaderLeaving))
+	if status == http.StatusServiceUnavailable {
+		m.Pause = pimento.ReadPauseNotice(h.Values(pimento.HeaderRetryAfter))
+	}
 	pimento.StripInternal(h)
 	return m
 }
--- a/upstreamfaker/dialect.go
+++ b/upstreamfaker/dialect.go
@@ -26,6 +26,7 @@
 	HandoverHeader string
 	ColdHeader     string
 	LimitHeader    string
+	LeavingHeader  string
 	Seconds        bool // the platform's units and field names: seconds in bodies, lower case
 	FromField      string
 	ToField        string
@@ -37,7 +38,7 @@
 	GrantPath: "/relay/grant", ReleasePath: "/relay/release", HealthPath: "/relay/health",
 	IDHeader: pimento.HeaderRequestID, TargetHeader: pimento.HeaderUpstream, KeyHeader: pimento.HeaderKeyPosition, UpstreamHeader: pimento.HeaderUpstream,
 	NotRunHeader: pimento.HeaderOutcome, NotRunValue: string(pimento.OutcomeNotRun), LoadHeader: pimento.HeaderLoad,
-	HandoverHeader: pimento.HeaderHandover, ColdHeader: pimento.HeaderCold, LimitHeader: pimento.HeaderLimit,
+	HandoverHeader: pimento.HeaderHandover, ColdHeader: pimento.HeaderCold, LimitHeader: pimento.HeaderLimit, LeavingHeader: pimento.HeaderLeaving,
 	FromField: "From", ToField: "To", HoldField: "Hold",
 }
 
@@ -46,7 +47,7 @@
 	GrantPath: "/pimentorelay/grant", ReleasePath: "/pimentorelay/release", HealthPath: "/healthz",
 	IDHeader: "Pimentorelay-Attempt-Id", TargetHeader: "Pimentorelay-Target-Instance", KeyHeader: "Pimentorelay-Shard-Key",
 	UpstreamHeader: "Pimentorelay-Instance-Id", NotRunHeader: "Pimentorelay-Not-Executed", NotRunValue: "1",
-	LoadHeader: "Pimentorelay-Server-Load", HandoverHeader: "Pimentorelay-Handover", ColdHeader: "Pimentorelay-Warmup-Ms", LimitHeader: "Server-Limit", Seconds: true,
+	LoadHeader: "Pimentorelay-Server-Load", HandoverHeader: "Pimentorelay-Handover", ColdHeader: "Pimentorelay-Warmup-Ms", LimitHeader: "Server-Limit", LeavingHeader: "Server-Leaving", Seconds: true,
 	FromField: "from", ToField: "target", HoldField: "hold_s",
 }
 
--- a/upstreamfaker/request.go
+++ b/upstreamfaker/request.go
@@ -65,12 +65,17 @@
 		panic(http.ErrAbortHandler)
 	}
 	s.limits.recordArrival(time.Now())
+	s.notices.recordArrival(time.Now(), r.Header.Get(d.IDHeader))
 	target := r.Header.Get(d.TargetHeader)
 	if target != "" && target != string(s.Name) || s.Keyed && !s.grants.holds(pimento.Key(key), time.Now()) {
 		s.report.Rejected++
 		s.refuseNotRun(w, http.StatusMisdirectedRequest)
 		return nil, false
 	}
+	if consumeFault(&s.faults.TurnAway) {
+		s.turnAway(w, r.Header.Get(d.IDHeader))
+		return nil, false
+	}
 	if s.inFlight >= s.Slots*(1+queuePerSlot) {
 		s.report.Full++
 		if s.faults.Hang {
--- a/upstreamfaker/server.go
+++ b/upstreamfaker/server.go
@@ -62,8 +62,12 @@
 	RestartIn pimento.Span // how long the server stays down after a crash
 	LateGrant pimento.Span // grants get no answer and take effect after this delay
 	// Limit holds the limits that answers name, one after the other; an empty text: none.
-	Limit []string
-	Hang  bool // requests that do not fit into the queue are never answered
+	Limit   []string
+	Leaving bool // all answers say that the server leaves
+	// TurnAway is how many of the next requests are refused with RetryAfter.
+	TurnAway   int
+	RetryAfter string // seconds
+	Hang       bool   // requests that do not fit into the queue are never answered
 }
 
 // Run is one request that took effect.
@@ -110,6 +114,7 @@
 	journal   []Run
 	report    Report
 	limits    limits
+	notices   notices
 	slots     chan struct{}
 	conns     map[net.Conn]bool
 }
@@ -220,6 +225,7 @@
 		if connStart, ok := r.Context().Value(connStartKey{}).(time.Time); s.isDown() || ok && !connStart.Equal(s.Report().Started) {
 			panic(http.ErrAbortHandler)
 		}
+		s.writeLeaving(w)
 		next(w, r)
 	}
 }
--- a/wire.go
+++ b/wire.go
@@ -65,6 +65,8 @@
 	IdleTimeout time.Duration // after which the upstream closes the connection; zero: unspecified
 	ColdFor     time.Duration // how long the upstream stays cold
 	Limit       LimitNotice
+	Leaving     bool        // the upstream leaves and will end soon
+	Pause       PauseNotice // of a status 503
 }
 
 // UpstreamWire translates between the protocol of upstreams and the domain types.
