Exclude upstreams for the requests of one process in the scheduler

A pause that an upstream names binds one process, so it must not stop the others. A ticket carries the bars of its process: such an upstream is never chosen for it. If nothing else is left, or the owner of its key is barred, it is refused at once, also while it waits, with the time that is left of the bar, uncapped. Nothing of it uses the retry budget.

--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -59,7 +59,7 @@
 	var best, late *upstream
 	var bestCost, lateCost time.Duration
 	for _, u := range p.upstreams {
-		if !p.canAccept(now, u) {
+		if !p.canAccept(now, u) || t.isBarred(now, u) {
 			continue
 		}
 		c := p.cost(now, t, u)
@@ -106,7 +106,7 @@
 		if domain != "" && u.Domain != domain {
 			continue
 		}
-		if !u.Usable || now.Before(u.health.pausedUntil) || now.Before(u.cold.until) || len(u.running) < p.concurrencyLimit(now, u) {
+		if !u.Usable || t.isBarred(now, u) || now.Before(u.health.pausedUntil) || now.Before(u.cold.until) || len(u.running) < p.concurrencyLimit(now, u) {
 			continue
 		}
 		d := p.expectedDuration(now, t, u)
@@ -126,7 +126,7 @@
 		return nil
 	}
 	u, ok := p.upstreams[o.Upstream]
-	if !ok || !p.canAccept(now, u) {
+	if !ok || !p.canAccept(now, u) || t.isBarred(now, u) {
 		return nil
 	}
 	return u
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -16,6 +16,7 @@
 //   - Cold upstreams (cold.go): requests are spaced to what they can handle.
 //   - Limits (limit.go): an upstream in need gets what it takes, the rest goes to
 //     others or is refused at once.
+//   - Bars (bar.go): a process sends nothing to an upstream that has told it so.
 //   - Retrying (budget.go): failures everywhere. Retries are a bounded share of
 //     the requests.
 //
@@ -63,7 +64,11 @@
 	GoalAt    time.Time // an answer until then has its full utility
 	Deadline  time.Time
 	Retry     bool // it was sent to an upstream before
-	Avoid     []pimento.UpstreamName
+	// Again means that the permit of this attempt was given back unused; the attempt
+	// has been counted.
+	Again  bool
+	Avoid  []pimento.UpstreamName
+	Barred []Bar // upstreams that the process may not send it to
 }
 
 // Decision ends the wait of a ticket: either Upstream or Refusal is set.
@@ -194,11 +199,16 @@
 
 // Offer adds a request and returns the decisions that follow.
 func (p *Pool) Offer(now time.Time, t Ticket) []Decision {
-	if t.Retry {
+	if out := p.checkBars(now, &t); out != nil {
+		return []Decision{{Ticket: t.ID, Refusal: out}}
+	}
+	switch {
+	case t.Again:
+	case t.Retry:
 		if !p.budget.allowRetry(now, p.config.Rank) {
 			return []Decision{{Ticket: t.ID, Refusal: pimento.NotRun(pimento.ReasonRetryBudget, "the repeats of this service are used up")}}
 		}
-	} else {
+	default:
 		p.budget.recordRequest(now)
 	}
 	if out := p.checkAdmission(now, &t); out != nil {
--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -123,6 +123,10 @@
 	contended := len(p.waiting) > 1
 	ahead := make(map[*upstream]int) // waiting requests of limited upstreams
 	p.waiting = slices.DeleteFunc(p.waiting, func(t *Ticket) bool {
+		if refusal := p.checkBars(now, t); refusal != nil {
+			out = append(out, Decision{Ticket: t.ID, Refusal: refusal})
+			return true
+		}
 		if p.config.Keyed && p.isForeign(t.Key) {
 			out = append(out, Decision{Ticket: t.ID, Refusal: p.refuse(0, foreignDetail)})
 			return true
@@ -217,7 +221,7 @@
 	free := false
 	next := time.Duration(math.MaxInt64) // until the first upstream takes one more
 	for _, u := range p.upstreams {
-		if !u.Usable || u.health.breaks > 1 && now.Before(u.health.pausedUntil) {
+		if !u.Usable || t.isBarred(now, u) || u.health.breaks > 1 && now.Before(u.health.pausedUntil) {
 			continue
 		}
 		free = free || p.canAccept(now, u)
