Ask right before a request is written whether it still may be

A permit is up to 0.8 s old when the bytes go out: idle check, probe and dial lie between. The client calls CheckSend before all that and again right before the exchange, and ends a request whose context has ended as not run. OnAnswer gets the metadata of every answer of the upstream: refusals, discarded stale answers, probes, grants and releases, but no 421 and none of another upstream.

--- a/connector/client.go
+++ b/connector/client.go
@@ -33,6 +33,7 @@
 	"time"
 
 	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/timekeeper"
 )
 
 const (
@@ -71,6 +72,12 @@
 	HealthPath string
 	// OnDial is called for every new connection; it may be nil.
 	OnDial func()
+	// CheckSend is called before a request is sent and again right before it is written.
+	// Its error, a *pimento.OutcomeError with outcome NotRun, stops it. It may be nil.
+	CheckSend func() error
+	// OnAnswer is called with the metadata of every answer of this upstream, whatever it
+	// is to, and when its request was about to be written; it may be nil.
+	OnAnswer func(writtenAt time.Time, m pimento.AnswerMetadata)
 
 	mu            sync.Mutex
 	idle          []*conn
@@ -222,6 +229,9 @@
 // Send sends a request and returns its answer. When ctx ends, the connection is
 // closed, which cancels the request at the upstream.
 func (c *Client) Send(ctx context.Context, r *pimento.Request, body io.Reader) (pimento.Answer, pimento.AnswerMetadata, error) {
+	if err := c.checkSend(ctx); err != nil {
+		return pimento.Answer{}, pimento.AnswerMetadata{}, err
+	}
 	now := time.Now()
 	cn := c.takeIdleConn(now)
 	if metadata, restarted := c.detectRestart(ctx, now); restarted {
@@ -236,7 +246,11 @@
 			return pimento.Answer{}, pimento.AnswerMetadata{}, pimento.NotRun(pimento.ReasonUpstreamLost, err.Error())
 		}
 	}
-	e := &exchange{client: c, conn: cn, request: r}
+	if err := c.checkSend(ctx); err != nil {
+		cn.Close()
+		return pimento.Answer{}, pimento.AnswerMetadata{}, err
+	}
+	e := &exchange{client: c, conn: cn, request: r, writtenAt: timekeeper.Now()}
 	e.stop = context.AfterFunc(ctx, func() { cn.Close() })
 	answer, metadata, err := e.roundTrip(body)
 	if err != nil {
@@ -269,6 +283,7 @@
 	client     *Client
 	conn       *conn
 	request    *pimento.Request
+	writtenAt  time.Time // when it was about to be written, by timekeeper
 	stop       func() bool
 	bodyResult chan error // result of sending a body in the background; nil: not used
 	done       bool
@@ -283,7 +298,7 @@
 	if err != nil {
 		return pimento.Answer{}, pimento.AnswerMetadata{}, pimento.Unknown(pimento.ReasonUpstreamLost, err.Error())
 	}
-	if metadata.NotRun {
+	if metadata.NotRun && (metadata.ID == "" || metadata.ID == e.request.ID) {
 		e.discardBody(res)
 		reason := pimento.ReasonRefused
 		if metadata.Misdirected {
@@ -386,6 +401,7 @@
 			continue
 		}
 		metadata := e.client.Wire.ReadAnswer(res.StatusCode, res.Header)
+		e.client.observeAnswer(e.writtenAt, metadata)
 		stale := metadata.ID != "" && metadata.ID != e.request.ID && e.conn.used
 		if !stale {
 			return res, metadata, nil
--- a/connector/control.go
+++ b/connector/control.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/timekeeper"
 )
 
 // reply is the answer to a control call; its body is discarded.
@@ -177,6 +178,7 @@
 	}
 	req.Header["User-Agent"] = nil
 	c.Wire.WriteTarget(req.Header, &c.Server)
+	writtenAt := timekeeper.Now()
 	if err := req.Write(cn.w); err != nil {
 		return reply{}, false, err
 	}
@@ -187,6 +189,7 @@
 	if err != nil {
 		return reply{}, false, err
 	}
+	c.observeAnswer(writtenAt, c.Wire.ReadAnswer(res.StatusCode, res.Header.Clone()))
 	complete, err := discard(res.Body)
 	if err != nil {
 		return reply{}, false, err
--- a/request.go
+++ b/request.go
@@ -44,6 +44,7 @@
 	ReasonRetryBudget    Reason = "RetryBudget"
 	ReasonQuarantined    Reason = "Quarantined"
 	ReasonStopping       Reason = "Stopping"
+	ReasonAvoided        Reason = "Avoided"
 )
 
 // ErrStopping is the cause of the end of a request's context if its process ends.
