Let the leader hear which upstreams leave or pause

An upstream that leaves by its answers alone, with its entry in the store as before, kept its keys until it was gone. Members report such runs with every reply until the state that they have shows them as leaving; the leader lets the run count as leaving until its upstream starts anew, so that states, moves of keys and pushes go their usual way. A new leader is told again by all. A pause binds one process: the leader hears of it as capacity only (the share of processes that may send), so that keys move away. Old processes ignore the new fields (test).

--- a/leader/heartbeat.go
+++ b/leader/heartbeat.go
@@ -126,6 +126,7 @@
 	l.elector.HandleReply(sentAt, m.process.ID, r.Epoch, r.Confirmed)
 	if l.term != nil {
 		l.term.applyReport(now, r.Report)
+		l.term.applyNotices(now, m.process.ID, r.Report)
 	}
 }
 
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -154,6 +154,7 @@
 	blocked      []quarantiner.Fingerprint        // requests that all processes refuse
 	capacities   map[pimento.UpstreamName]float64 // requests per second
 	limits       limiter.Book
+	pauses       pauses
 	versions     messenger.Versions
 	owners       []messenger.Owner
 	roster       *messenger.Roster
@@ -320,7 +321,7 @@
 	t := &term{
 		members: make(map[pimento.ProcessID]*member), capacities: make(map[pimento.UpstreamName]float64),
 		servers: make(map[pimento.UpstreamName]pimento.Server), queues: make(map[pimento.UpstreamName]*queue),
-		lost: make(map[pimento.UpstreamName]pimento.Run), probing: make(map[pimento.UpstreamName]bool),
+		lost: make(map[pimento.UpstreamName]pimento.Run), probing: make(map[pimento.UpstreamName]bool), pauses: make(pauses),
 		listBackoff: timekeeper.Backoff{Initial: minListBackoff, Max: maxListBackoff},
 	}
 	t.ctx, t.cancel = context.WithCancel(ctx)
@@ -351,7 +352,10 @@
 	l.sendHeartbeats(now)
 	if !now.Before(t.reportAt) {
 		t.reportAt = now.Add(l.ElectorTiming.HeartbeatInterval)
-		t.applyReport(now, l.Member.Report())
+		report := l.Member.Report()
+		t.applyReport(now, report)
+		t.applyNotices(now, l.Self.ID, report)
+		t.pauses.prune(now)
 	}
 	if !t.listing && !now.Before(t.listAt) {
 		l.readUpstreams(now)
--- a/leader/plan.go
+++ b/leader/plan.go
@@ -264,9 +264,9 @@
 		c = min(c, limitedCapacity(limit, l.term.limits.Age(now, u.Name)))
 	}
 	if now.Before(u.WarmAt) && s.ColdRate > 0 {
-		return min(c, s.ColdRate*coldCapacityShare)
+		c = min(c, s.ColdRate*coldCapacityShare)
 	}
-	return c
+	return c * l.term.pauses.usableShare(now, pimento.Run{Upstream: u.Name, Started: u.Started}, len(l.term.members)+1)
 }
 
 // limitedCapacity returns the capacity of an upstream that last named a limit some
--- a/leader/registry.go
+++ b/leader/registry.go
@@ -40,11 +40,12 @@
 	outDomains     []pimento.DomainName
 	outDomainsRead bool // whether they were read once
 	coldFor        func(pimento.ServiceName) time.Duration
-	coldUntil      map[pimento.UpstreamName]time.Time // after their domain returned to service
-	heldOut        []pimento.DomainName               // out before the store was restored, until restoredUntil
-	listedOut      []pimento.DomainName               // as last read
-	gone           map[pimento.UpstreamName]time.Time // starts of the runs whose entries were removed
-	era            uint64                             // of the store, as of the last reading
+	coldUntil      map[pimento.UpstreamName]time.Time   // after their domain returned to service
+	heldOut        []pimento.DomainName                 // out before the store was restored, until restoredUntil
+	listedOut      []pimento.DomainName                 // as last read
+	gone           map[pimento.UpstreamName]time.Time   // starts of the runs whose entries were removed
+	toldLeaving    map[pimento.UpstreamName]pimento.Run // whose answers say that they leave
+	era            uint64                               // of the store, as of the last reading
 	readAt         time.Time
 	graceUntil     time.Time
 	restoredUntil  time.Time // until then the store may show entries of before
@@ -109,6 +110,7 @@
 		if old, ok := r.known[s.Name]; ok {
 			s.WarmAt = reconcileWarmAt(old, s)
 		}
+		s = r.withToldState(s)
 		next[s.Name] = s
 		addresses[s.Address.String()] = true
 		if s.Started.After(r.lastStarted[s.Name]) {
@@ -126,6 +128,7 @@
 		}
 	}
 	r.known = next
+	r.forgetToldLeaving()
 	r.refreshOut(now)
 	r.publish()
 }
--- a/messenger/encoding_test.go
+++ b/messenger/encoding_test.go
@@ -168,3 +168,37 @@
 		})
 	}
 }
+
+// TestOlderPeersIgnoreBars guards against messages about leaving or paused upstreams that a
+// process of an older version cannot read, or that the news of an older one changes.
+func TestOlderPeersIgnoreBars(t *testing.T) {
+	type olderAcquire struct {
+		Service string `cbor:"1,keyasint"`
+		Repeat  bool   `cbor:"10,keyasint,omitempty"`
+	}
+	type olderDone struct {
+		Ticket  uint64 `cbor:"3,keyasint"`
+		Limited bool   `cbor:"11,keyasint,omitempty"`
+	}
+	is := is.New(t)
+	acquire, err := encMode.Marshal(&Acquire{Service: "s", Repeat: true, Barred: []Bar{{Upstream: "u", Started: 5, Left: time.Second}}, Again: true})
+	is.NoErr(err)
+	var a olderAcquire
+	is.NoErr(cbor.Unmarshal(acquire, &a))
+	is.Equal(a, olderAcquire{Service: "s", Repeat: true})
+	done, err := encMode.Marshal(&Done{Ticket: 7, Limited: true, Started: 5, Leaving: true, PausedFor: time.Second})
+	is.NoErr(err)
+	var d olderDone
+	is.NoErr(cbor.Unmarshal(done, &d))
+	is.Equal(d, olderDone{Ticket: 7, Limited: true})
+
+	report, err := encMode.Marshal(&Report{Leaving: []pimento.Run{{Upstream: "u"}}, Paused: []Pause{{Left: time.Second}}})
+	is.NoErr(err)
+	var r wireReport
+	is.NoErr(cbor.Unmarshal(report, &r))
+	older, err := encMode.Marshal(&olderDone{Ticket: 7})
+	is.NoErr(err)
+	var present Done
+	is.NoErr(cbor.Unmarshal(older, &present))
+	is.Equal(present, Done{Ticket: 7})
+}
--- a/messenger/state.go
+++ b/messenger/state.go
@@ -45,6 +45,16 @@
 	Capacities   []UpstreamCapacity        `json:"Speeds"`
 	CrashReports []quarantiner.Fingerprint `json:"Strikes"`    // suspects, once for each crash
 	Limits       []limiter.Report          `cbor:",omitempty"` // what answers have said about limits of upstreams
+	// Leaving are the runs whose answers say that they leave, while the known state does
+	// not.
+	Leaving []pimento.Run `cbor:",omitempty"`
+	Paused  []Pause       `cbor:",omitempty"`
+}
+
+// Pause says that a run of an upstream wants nothing from the process that reports it.
+type Pause struct {
+	Run  pimento.Run
+	Left time.Duration
 }
 
 // KeyLoad is the number of requests for a key.
@@ -142,6 +152,15 @@
 	Repeat      bool                    `cbor:"10,keyasint,omitempty"`
 	Avoid       []pimento.UpstreamName  `cbor:"11,keyasint,omitempty"`
 	Fingerprint quarantiner.Fingerprint `cbor:"12,keyasint,omitempty"`
+	Barred      []Bar                   `cbor:"13,keyasint,omitempty"`
+	Again       bool                    `cbor:"14,keyasint,omitempty"` // the permit of this attempt was given back unused
+}
+
+// Bar excludes a run of an upstream for a request.
+type Bar struct {
+	Upstream pimento.UpstreamName `cbor:"1,keyasint"`
+	Started  int64                `cbor:"2,keyasint"`           // Unix milliseconds
+	Left     time.Duration        `cbor:"3,keyasint,omitempty"` // zero: for as long as the run lasts
 }
 
 // Permit allows a request to be sent to an upstream.
@@ -180,4 +199,9 @@
 	ColdFor  time.Duration       `cbor:"10,keyasint,omitempty"`
 	Limited  bool                `cbor:"11,keyasint,omitempty"` // the answer named Limit
 	Limit    pimento.RateLimit   `cbor:"12,keyasint,omitempty"`
+	Started  int64               `cbor:"13,keyasint,omitempty"` // Unix milliseconds, of the run in the permit
+	Leaving  bool                `cbor:"14,keyasint,omitempty"` // the run has said that it leaves
+	// PausedFor is how long the run wants nothing from the process that returns the
+	// permit.
+	PausedFor time.Duration `cbor:"15,keyasint,omitempty"`
 }
