Send nothing to an upstream that has told this process so

Whatever its permit says, the process that sends asks its own book right before the bytes. A permit that is refused there is given back as canceled and another one asked for, at most three times, without an attempt or a retry. It tells the dispatcher with each request for a permit what it may not send to, so no news can be lost; with Done, also for its requests that wait there. That an upstream leaves is told to all; a pause to nobody else. Probes pause, renewals of grants go on. Events 5020 to 5023, two metrics, status, explain.

--- a/admitter/acquire.go
+++ b/admitter/acquire.go
@@ -88,7 +88,7 @@
 func (a *Admitter) ticketOf(r *pimento.Request, attempt forwarder.AttemptState) scheduler.Ticket {
 	return scheduler.Ticket{
 		Route: r.Route.Name, Priority: r.Route.Priority, Key: r.Key, Domain: a.Self.Domain, BodyBytes: r.BodyLength,
-		Arrived: time.Now(), GoalAt: r.GoalAt, Deadline: r.Deadline, Retry: attempt.Number > 1, Avoid: attempt.Avoid,
+		Arrived: time.Now(), GoalAt: r.GoalAt, Deadline: r.Deadline, Retry: attempt.Number > 1, Again: attempt.Again, Avoid: attempt.Avoid, Barred: a.barred(),
 	}
 }
 
@@ -146,6 +146,7 @@
 	reply, err := a.Peers.Call(ctx, p, &messenger.Message{Acquire: &messenger.Acquire{
 		Service: key.service, Pool: key.index, Route: t.Route, Priority: t.Priority, Key: t.Key, Domain: t.Domain, Bytes: t.BodyBytes,
 		Goal: t.GoalAt.Sub(t.Arrived), Left: t.Deadline.Sub(t.Arrived), Repeat: t.Retry, Avoid: t.Avoid, Fingerprint: quarantiner.Fingerprint(r.Fingerprint),
+		Barred: barMessages(t), Again: t.Again,
 	}})
 	switch {
 	case err != nil && ctx.Err() != nil:
@@ -178,6 +179,8 @@
 	release := func(r scheduler.Result) {
 		d := &messenger.Done{Service: key.service, Pool: key.index, Ticket: m.Ticket, Kind: string(r.Kind), Took: r.Took, ColdFor: r.ColdFor}
 		d.Limited, d.Limit = r.Limit.Named, r.Limit.Rate
+		d.Started = m.Started
+		d.Leaving, d.PausedFor = a.noticesOf(s)
 		if r.HasLoad {
 			d.InFlight, d.Waiting, d.Slots, d.Slowness = r.Load.InFlight, r.Load.Waiting, max(1, r.Load.Slots), r.Load.Slowness
 		}
@@ -218,6 +221,7 @@
 	answer, metadata, err := p.client.Send(ctx, r, body)
 	p.result = scheduler.Result{Kind: resultKind(answer, err), Took: time.Since(p.sentAt), Load: metadata.Load, HasLoad: metadata.HasLoad, ColdFor: metadata.ColdFor, Limit: metadata.Limit}
 	p.admitter.observeLimit(p.sentAt, p.server.Name, metadata, err)
+	p.admitter.delayRetry(p.server, err)
 	return answer, metadata, err
 }
 
@@ -240,7 +244,7 @@
 		return scheduler.ResultRefused
 	case pimento.ReasonTimeout:
 		return scheduler.ResultTimeout
-	case pimento.ReasonCallerGone, pimento.ReasonStopping, pimento.ReasonBodyCut:
+	case pimento.ReasonCallerGone, pimento.ReasonStopping, pimento.ReasonBodyCut, pimento.ReasonAvoided:
 		return scheduler.ResultCanceled
 	}
 	if failure.Outcome == pimento.OutcomeNotRun {
--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -26,10 +26,12 @@
 	"time"
 
 	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/avoider"
 	"pimentorelay.example/pimento/limiter"
 	"pimentorelay.example/pimento/messenger"
 	"pimentorelay.example/pimento/quarantiner"
 	"pimentorelay.example/pimento/scheduler"
+	"pimentorelay.example/pimento/timekeeper"
 )
 
 const (
@@ -99,6 +101,11 @@
 	RetryBudget RetryBudget // once running, change it with SetRetryBudget
 	// OnLimit is called for each change of the limit of an upstream; it may be nil.
 	OnLimit func(limiter.Change)
+	// OnNotice is called for each change of what answers have said of requests to come;
+	// it may be nil.
+	OnNotice func(avoider.Change)
+	// LeavingBound is the time within which a leaving upstream must get no new work.
+	LeavingBound time.Duration // once running, change it with SetLeavingBound
 
 	mu         sync.Mutex
 	quarantine *quarantiner.Machine
@@ -109,6 +116,7 @@
 	wake       chan struct{}
 	lastTicket uint64
 	limits     limiter.Book
+	avoided    avoider.Book
 	once       sync.Once
 }
 
@@ -151,6 +159,7 @@
 		a.wake = make(chan struct{}, 1)
 		a.state = &Snapshot{}
 		a.quarantine = quarantiner.New()
+		a.avoided.LeavingDelay = leavingDelay(a.LeavingBound)
 	})
 }
 
@@ -165,6 +174,7 @@
 	}
 	a.recordRestarts(now, next)
 	a.state = next
+	notices := a.avoided.Retain(timekeeper.Now(), next.runs())
 	var callbacks []func()
 	for key, p := range a.pools {
 		callbacks = append(callbacks, p.applyDecisions(a.updatePool(key, p))...)
@@ -174,6 +184,7 @@
 	a.limits.Retain(now, a.isKnown)
 	a.mu.Unlock()
 	runAll(callbacks)
+	a.reportNotices(notices)
 }
 
 // isKnown reports whether an upstream is registered. The caller holds mu.
@@ -199,6 +210,7 @@
 	var list []scheduler.Upstream
 	for _, u := range a.state.Upstreams {
 		if u.Service == key.service && pimento.PoolOf(u.Name, count) == key.index {
+			u.Usable = u.Usable && !a.isLeftBy(u)
 			list = append(list, u)
 		}
 	}
@@ -368,6 +380,7 @@
 	now := time.Now()
 	a.mu.Lock()
 	changes, callbacks := a.applyLimits(now)
+	notices := a.avoided.Tick(timekeeper.Now())
 	for _, p := range a.pools {
 		callbacks = append(callbacks, p.applyDecisions(p.machine.Tick(now))...)
 	}
@@ -378,6 +391,7 @@
 	a.mu.Unlock()
 	runAll(callbacks)
 	a.reportLimits(changes)
+	a.reportNotices(notices)
 	return waiting
 }
 
--- a/admitter/dispatcher.go
+++ b/admitter/dispatcher.go
@@ -15,7 +15,7 @@
 	key := poolKey{service: req.Service, index: req.Pool}
 	t := scheduler.Ticket{
 		Route: req.Route, Priority: req.Priority, Key: req.Key, Domain: req.Domain, BodyBytes: req.Bytes,
-		Arrived: now, GoalAt: now.Add(req.Goal), Deadline: now.Add(req.Left), Retry: req.Repeat, Avoid: req.Avoid,
+		Arrived: now, GoalAt: now.Add(req.Goal), Deadline: now.Add(req.Left), Retry: req.Repeat, Avoid: req.Avoid, Again: req.Again, Barred: ticketBars(now, req.Barred),
 	}
 	w := &waiter{link: from, call: call, fingerprint: req.Fingerprint}
 	w.answer = func(d scheduler.Decision) { reply(a.decisionMessage(d)) }
@@ -64,6 +64,7 @@
 		Load: pimento.LoadReport{InFlight: d.InFlight, Waiting: d.Waiting, Slots: d.Slots, Slowness: d.Slowness},
 	}
 	key := poolKey{service: d.Service, index: d.Pool}
+	a.observeReportedNotice(key, d)
 	a.observeReportedLimit(key, d.Ticket, r.Kind, pimento.LimitNotice{Named: d.Limited, Rate: d.Limit})
 	a.releasePermit(key, d.Ticket, r)
 }
@@ -128,6 +129,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	report := messenger.Report{CrashReports: a.quarantine.CrashReports(), Limits: a.limits.FreshReports(time.Now())}
+	report.Leaving, report.Paused = a.noticeReports()
 	for key, p := range a.pools {
 		s, _ := a.state.Service(key.service)
 		if s.Sharing != pimento.SharingKeyed {
--- a/admitter/runs.go
+++ b/admitter/runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"pimentorelay.example/pimento"
@@ -34,6 +35,8 @@
 	if !ok {
 		service, _ := a.state.Service(s.Service)
 		r = &runClient{client: &connector.Client{Server: s, Wire: a.Wire, HealthPath: service.HealthPath}}
+		r.client.CheckSend = func() error { return a.checkSend(s) }
+		r.client.OnAnswer = func(writtenAt time.Time, m pimento.AnswerMetadata) { a.observeNotice(s, writtenAt, m) }
 		a.clients[key] = r
 	}
 	r.usedAt = now
@@ -55,6 +58,9 @@
 // Probe implements leader.Grantor.
 func (a *Admitter) Probe(ctx context.Context, at pimento.Server, path string) error {
 	a.init()
+	if err := a.checkProbe(at); err != nil {
+		return fmt.Errorf("Admitter.Probe: %w", err)
+	}
 	_, _, err := a.client(at).Probe(ctx, path)
 	return err
 }
--- a/avoider/book.go
+++ b/avoider/book.go
@@ -105,7 +105,10 @@
 	if n.IsEmpty() {
 		return nil
 	}
-	e := b.entry(run)
+	e := b.entry(run, n.WrittenAt)
+	if e == nil {
+		return nil
+	}
 	e.writtenAt = later(e.writtenAt, n.WrittenAt)
 	e.keptUntil = now.Add(forgetAfter)
 	var changes []Change
@@ -123,12 +126,16 @@
 	return changes
 }
 
-// entry returns the entry that applies to a run, a new one if there is none.
-func (b *Book) entry(run pimento.Run) *entry {
+// entry returns the entry for an answer of a run to a request that was written then, a new
+// one if there is none. It is nil for an answer of a run that has ended.
+func (b *Book) entry(run pimento.Run, writtenAt time.Time) *entry {
 	if b.entries == nil {
 		b.entries = make(map[pimento.UpstreamName]*entry)
 	}
 	e, ok := b.entries[run.Upstream]
+	if ok && !sameStart(e.run, run) && writtenAt.Before(e.run.Started) {
+		return nil
+	}
 	if ok && (e.appliesTo(run) || run.Started.Before(e.run.Started)) {
 		if run.Started.After(e.run.Started) {
 			e.run = run
--- a/avoider/book_test.go
+++ b/avoider/book_test.go
@@ -120,6 +120,9 @@
 	b.Observe(at(2), runAt(-9), leaving(0.5))
 	_, barred := b.Bar(at(3), runAt(1))
 	is.True(!barred)
+	b.Observe(at(4), runAt(1), pausing(4, time.Second))
+	b.Observe(at(4), runAt(-9), leaving(0.5))
+	is.True(!b.IsLeaving(runAt(1)))
 }
 
 // TestBookIsBounded guards against a book that grows with every upstream there ever was.
--- a/event.go
+++ b/event.go
@@ -40,6 +40,10 @@
 	EventLimitNamed      EventNumber = 5006
 	EventLimitEnded      EventNumber = 5007
 	EventLimitInvalid    EventNumber = 5008
+	EventLeavingNamed    EventNumber = 5020
+	EventPauseNamed      EventNumber = 5021
+	EventPauseEnded      EventNumber = 5022
+	EventPauseInvalid    EventNumber = 5023
 	EventGrantFailed     EventNumber = 4007
 	EventReleased        EventNumber = 4008
 	EventKeysMoved       EventNumber = 4009
@@ -84,6 +88,10 @@
 	EventLimitNamed:      "upstream names a limit",
 	EventLimitEnded:      "upstream names no limit any more",
 	EventLimitInvalid:    "upstream names a limit that is not valid",
+	EventLeavingNamed:    "upstream says that it leaves",
+	EventPauseNamed:      "upstream wants no requests from this process",
+	EventPauseEnded:      "upstream takes requests from this process again",
+	EventPauseInvalid:    "upstream names a pause that is not valid",
 	EventGrantFailed:     "grant of keys failed",
 	EventReleased:        "release of keys ended",
 	EventKeysMoved:       "keys go to another upstream",
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -149,6 +149,7 @@
 	pimento.EventLeading: "leader", pimento.EventLeadingEnded: "leader", pimento.EventTermAdopted: "term",
 	pimento.EventUpstreamLost: "upstream", pimento.EventUpstreamBack: "upstream", pimento.EventGrantFailed: "grant",
 	pimento.EventLimitNamed: "limit", pimento.EventLimitEnded: "limit", pimento.EventLimitInvalid: "limit",
+	pimento.EventLeavingNamed: "leaving", pimento.EventPauseNamed: "pause", pimento.EventPauseEnded: "pause", pimento.EventPauseInvalid: "pause",
 	pimento.EventReleased: "release", pimento.EventKeysMoved: "keys",
 	pimento.EventProcessStopping: "process", pimento.EventProcessStarted: "process", pimento.EventSettingsChanged: "settings",
 }
@@ -164,7 +165,7 @@
 		attempts := step.Fields["Tries"] + " " + step.Fields["By"] + " " + step.Fields["Detail"]
 		involved := x.Process == step.Process || containsName(attempts, string(x.Process))
 		switch subject {
-		case "upstream", "grant", "release", "limit":
+		case "upstream", "grant", "release", "limit", "leaving", "pause":
 			coversKey := x.Fields["Service"] == step.Fields["Service"] && rangeContains(x.Fields["Keys"], step.Fields["Key"])
 			if coversKey || containsName(attempts, x.Fields["Upstream"]) {
 				return subject + " " + x.Fields["Upstream"], true
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -84,3 +84,22 @@
 	is.Equal(len(r.KnownState), 1)
 	is.Equal(r.KnownState[0].Fields["Rate"], "2.9")
 }
+
+// TestPauseBehindRefusal guards against a request that was refused because its upstream
+// leaves or wants nothing, and a report without that.
+func TestPauseBehindRefusal(t *testing.T) {
+	is := is.New(t)
+	const text = `
+{"@timestamp":"2026-02-02T18:00:08.000000Z","Event":5020,"Process":"a","Upstream":"u1"}
+{"@timestamp":"2026-02-02T18:00:09.000000Z","Event":5021,"Process":"a","Upstream":"u1","For":"30s"}
+{"@timestamp":"2026-02-02T18:00:09.100000Z","Event":5021,"Process":"a","Upstream":"u2","For":"40s"}
+{"@timestamp":"2026-02-02T18:00:10.000000Z","Event":6002,"Process":"a","Request":"x1","By":"b","Detail":"the upstream u1 wants nothing from the process that asks for 29s","Reason":"Overloaded"}
+`
+	var l Log
+	is.NoErr(l.Read(strings.NewReader(text)))
+	r, ok := l.Explain("x1")
+	is.True(ok)
+	is.Equal(len(r.KnownState), 2)
+	is.Equal(r.KnownState[0].Number, pimento.EventLeavingNamed)
+	is.Equal(r.KnownState[1].Fields["For"], "30s")
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -33,6 +33,9 @@
 	// manifestRetryAfter is the time after which callers should retry while this
 	// process has no manifest.
 	manifestRetryAfter = 300 * time.Millisecond
+	// maxUnusedPermits is how many permits of a request may be given back unused: each
+	// time another one is asked for, without the upstreams that this process avoids.
+	maxUnusedPermits = 3
 )
 
 // View is the part of the configuration in force that the forwarder reads.
@@ -56,6 +59,7 @@
 // AttemptState says which attempt of a request a permit is acquired for.
 type AttemptState struct {
 	Number int                    // from one
+	Again  bool                   // a permit of this attempt was given back unused
 	Avoid  []pimento.UpstreamName // used by earlier attempts
 }
 
@@ -144,8 +148,13 @@
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	rewindable := &rewindableBody{src: body}
 	attempt := AttemptState{Number: 1}
+	unused := 0 // permits
 	for {
 		answer, err := f.attempt(ctx, r, rewindable, &attempt, trace)
+		if attempt.Again = isAvoided(err); attempt.Again && unused < maxUnusedPermits && ctx.Err() == nil {
+			unused++
+			continue
+		}
 		if err == nil && answer.Body != nil {
 			answer.Body = &hookedBody{ReadCloser: answer.Body, onClose: cancel}
 			return answer, nil
@@ -185,8 +194,12 @@
 	if err != nil {
 		return pimento.Answer{}, err
 	}
-	attempt.Avoid = append(attempt.Avoid, permit.Upstream())
 	answer, _, err := permit.Serve(ctx, r, body)
+	if isAvoided(err) { // nothing was sent
+		permit.Done(err)
+		return pimento.Answer{}, err
+	}
+	attempt.Avoid = append(attempt.Avoid, permit.Upstream())
 	if err == nil {
 		answer, err = bufferAnswer(answer)
 	}
@@ -201,6 +214,13 @@
 	return answer, nil
 }
 
+// isAvoided reports whether a permit was not used, because this process may not send to
+// its upstream now.
+func isAvoided(err error) bool {
+	var failure *pimento.OutcomeError
+	return errors.As(err, &failure) && failure.Reason == pimento.ReasonAvoided
+}
+
 // bufferAnswer reads a short answer whole, and sets its length if it was not
 // known beforehand.
 func bufferAnswer(answer pimento.Answer) (pimento.Answer, error) {
--- a/relayctl/status.go
+++ b/relayctl/status.go
@@ -41,6 +41,7 @@
 	Seen       bool // a process reports that it dispatches to it
 	Dispatcher pimento.ProcessID
 	Keys       int
+	BarredAt   []pimento.ProcessID `json:",omitempty"` // processes that may send nothing to it
 }
 
 func newStatusCommand(c *client) *cobra.Command {
@@ -84,15 +85,27 @@
 			reported[u.Upstream] = upstreamStatus{UpstreamReport: u, Seen: true, Dispatcher: s.Process.ID}
 		}
 	}
-	keys := keysHeld(a)
+	keys, barred := keysHeld(a), barredAt(statuses)
 	for _, s := range config.Servers {
 		u := reported[s.Name]
 		u.Upstream, u.Service, u.Keys = s.Name, s.Service, keys[s.Name]
+		u.BarredAt = barred[s.Name]
 		o.Upstreams = append(o.Upstreams, u)
 	}
 	return o
 }
 
+// barredAt returns the processes that may send nothing to an upstream, by upstream.
+func barredAt(statuses []pimento.Status) map[pimento.UpstreamName][]pimento.ProcessID {
+	out := make(map[pimento.UpstreamName][]pimento.ProcessID)
+	for _, s := range statuses {
+		for _, b := range s.Barred {
+			out[b.Upstream] = append(out[b.Upstream], s.Process.ID)
+		}
+	}
+	return out
+}
+
 func outOfService(config *pimento.Config) []string {
 	var out []string
 	for _, d := range config.Domains {
@@ -145,6 +158,8 @@
 		return "NotSeen"
 	case !u.Usable:
 		return "NoNewWork"
+	case len(u.BarredAt) > 0:
+		return fmt.Sprintf("BarredAt:%d", len(u.BarredAt))
 	case u.Limit > 0:
 		return fmt.Sprintf("Limited:%.3g/s", u.Limit)
 	case u.Cold:
--- a/router/observer.go
+++ b/router/observer.go
@@ -10,9 +10,11 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/avoider"
 	"pimentorelay.example/pimento/forwarder"
 	"pimentorelay.example/pimento/limiter"
 	"pimentorelay.example/pimento/recorder"
+	"pimentorelay.example/pimento/timekeeper"
 )
 
 // observer logs requests and records their metrics.
@@ -102,6 +104,21 @@
 	}
 }
 
+// noticeChanged logs and counts what answers have said of requests to come.
+func (o *observer) noticeChanged(c avoider.Change) {
+	o.count("relay_upstream_notices_total", "Kind", c.Kind)
+	switch c.Kind {
+	case avoider.ChangeLeaving:
+		o.events.Emit(pimento.EventLeavingNamed, "Upstream", c.Run.Upstream)
+	case avoider.ChangePaused:
+		o.events.Emit(pimento.EventPauseNamed, "Upstream", c.Run.Upstream, "For", roundToMillis(c.Until.Sub(timekeeper.Now())))
+	case avoider.ChangeEnded:
+		o.events.Emit(pimento.EventPauseEnded, "Upstream", c.Run.Upstream)
+	case avoider.ChangeInvalid:
+		o.events.Emit(pimento.EventPauseInvalid, "Upstream", c.Run.Upstream, "Value", c.Invalid)
+	}
+}
+
 // countRequest records the outcome and duration of a request.
 func (o *observer) countRequest(route pimento.RouteName, outcome pimento.Outcome, reason pimento.Reason, t *forwarder.Trace) {
 	o.count("relay_requests_total", "Route", route, "Outcome", outcome, "Reason", reason)
--- a/router/operators.go
+++ b/router/operators.go
@@ -40,6 +40,7 @@
 		"relay_manifest_announced": func() float64 { return float64(r.follower.announcedVersion()) },
 		"relay_unheld_keys":        func() float64 { return float64(r.follower.unheldKeys()) },
 		"relay_waiting_requests":   func() float64 { return float64(r.admitter.Waiting()) },
+		"relay_barred_upstreams":   func() float64 { return float64(len(r.admitter.Barred())) },
 		"relay_active_requests":    func() float64 { return float64(r.acceptor.Active()) },
 		"relay_caller_connections": func() float64 { return float64(r.acceptor.Connections()) },
 		"relay_request_records":    func() float64 { return float64(r.registrar.Len()) },
@@ -80,6 +81,6 @@
 		Leads: r.leader.IsLeader(), Led: r.leader.HasAuthority() || r.leader.HasLeader() && !r.leader.IsLeader(),
 		Ready: r.isReady(), Leaving: r.leaving.Load(), ManifestVersion: versions.Manifest,
 		Active: r.acceptor.Active(), Waiting: r.admitter.Waiting(), Records: r.registrar.Len(),
-		Unheld: r.follower.unheldKeys(), Dispatches: r.admitter.Upstreams(),
+		Unheld: r.follower.unheldKeys(), Dispatches: r.admitter.Upstreams(), Barred: r.admitter.Barred(),
 	}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -132,7 +132,7 @@
 	}}
 	r.observer = &observer{events: r.events, metrics: r.metrics, epoch: func() uint64 { return r.leader.Term().Epoch }}
 	r.messenger = &messenger.Messenger{Self: r.self, Handler: (*handler)(r)}
-	r.admitter = &admitter.Admitter{Self: r.self, Peers: r.messenger, Wire: r.UpstreamWire, RetryBudget: retryBudget(r.Bounds), OnLimit: r.observer.limitChanged}
+	r.admitter = &admitter.Admitter{Self: r.self, Peers: r.messenger, Wire: r.UpstreamWire, RetryBudget: retryBudget(r.Bounds), OnLimit: r.observer.limitChanged, OnNotice: r.observer.noticeChanged, LeavingBound: r.Bounds.Leaving}
 	r.registrar = &registrar.Registrar{Self: r.self, Peers: r.messenger, Events: r.events}
 	r.follower = &follower{router: r, announcedNewer: make(chan struct{}, 1)}
 	r.restored = make(chan struct{}, 1)
@@ -159,6 +159,7 @@
 func (r *Router) SetBounds(b pimento.Bounds) {
 	r.bounds.Store(&b)
 	r.admitter.SetRetryBudget(retryBudget(b))
+	r.admitter.SetLeavingBound(b.Leaving)
 }
 
 // LogEvent logs an event of the program that runs the Router.
--- a/status.go
+++ b/status.go
@@ -29,4 +29,12 @@
 	Records         int // request records kept here
 	Unheld          int // keys without a ready holder, as far as this process knows
 	Dispatches      []UpstreamReport
+	Barred          []BarredUpstream `json:",omitempty"`
+}
+
+// BarredUpstream is an upstream to which a process sends nothing, because answers have said
+// so.
+type BarredUpstream struct {
+	Upstream UpstreamName
+	For      Span `json:",omitempty"` // zero: it leaves
 }
