--- a/admitter/acquire.go
+++ b/admitter/acquire.go
@@ -88,7 +88,7 @@
 func (a *Admitter) ticketOf(r *pimento.Request, attempt forwarder.AttemptState) scheduler.Ticket {
 	return scheduler.Ticket{
 		Route: r.Route.Name, Priority: r.Route.Priority, Key: r.Key, Domain: a.Self.Domain, BodyBytes: r.BodyLength,
-		Arrived: time.Now(), GoalAt: r.GoalAt, Deadline: r.Deadline, Retry: attempt.Number > 1, Again: attempt.Again, Avoid: attempt.Avoid, Barred: a.barred(),
+		Arrived: time.Now(), GoalAt: r.GoalAt, Deadline: r.Deadline, Retry: attempt.Number > 1, Again: attempt.Again, Avoid: attempt.Avoid, Barred: a.barred(r.Service, attempt.Again),
 	}
 }
 
--- a/admitter/notices.go
+++ b/admitter/notices.go
@@ -41,18 +41,19 @@
 }
 
 // checkSend returns the error of a request to an upstream that has told this process that
-// it leaves or wants nothing now. It is asked right before a request is written, whatever
-// permit that has.
+// it leaves or wants nothing now, or that takes no new work as far as is known here. It is
+// asked right before a request is written, whatever permit that has.
 func (a *Admitter) checkSend(s pimento.Server) error {
 	now := timekeeper.Now()
 	a.mu.Lock()
 	bar, barred := a.avoided.Bar(now, runOf(s))
+	unusable := a.isUnusable(s)
 	a.mu.Unlock()
-	if !barred {
+	if !barred && !unusable {
 		return nil
 	}
 	if bar.Until.IsZero() {
-		out := pimento.NotRun(pimento.ReasonAvoided, fmt.Sprintf("the upstream %s leaves", s.Name))
+		out := pimento.NotRun(pimento.ReasonAvoided, fmt.Sprintf("the upstream %s leaves, or its failure domain is out", s.Name))
 		out.RetryAfter = leavingRetryAfter
 		return out
 	}
@@ -61,6 +62,18 @@
 	return out
 }
 
+// isUnusable reports whether a run takes no new work as far as is known here. The
+// dispatcher that issued a permit for it may not have known that. The caller holds mu.
+func (a *Admitter) isUnusable(s pimento.Server) bool {
+	for i := range a.state.Upstreams {
+		u := &a.state.Upstreams[i]
+		if !u.Usable && u.Name == s.Name && u.Started.UnixMilli() == s.Started.UnixMilli() {
+			return true
+		}
+	}
+	return false
+}
+
 // errPaused is the cause if an upstream is not probed because it wants nothing now.
 var errPaused = errors.New("the upstream wants nothing from this process now")
 
@@ -174,14 +187,25 @@
 	return p.applyDecisions(p.machine.Bar(now, ids, b))
 }
 
-// barred returns the upstreams to which this process may send nothing now.
-func (a *Admitter) barred() []scheduler.Bar {
+// barred returns the upstreams to which this process may send nothing now. For an attempt
+// whose permit could not be used, those of its service are among them that take no new
+// work as far as is known here.
+func (a *Admitter) barred(service pimento.ServiceName, again bool) []scheduler.Bar {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.bars(time.Now())
+	out := a.bars(time.Now())
+	if !again {
+		return out
+	}
+	for _, u := range a.state.Upstreams {
+		if !u.Usable && u.Service == service {
+			out = append(out, scheduler.Bar{Upstream: u.Name, Started: u.Started})
+		}
+	}
+	return out
 }
 
-// bars is barred for a caller that holds mu.
+// bars returns what answers bar now. The caller holds mu.
 func (a *Admitter) bars(now time.Time) []scheduler.Bar {
 	kept := timekeeper.Now()
 	var out []scheduler.Bar
--- a/admitter/notices_test.go
+++ b/admitter/notices_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"pimentorelay.example/pimento"
 	"pimentorelay.example/pimento/avoider"
+	"pimentorelay.example/pimento/forwarder"
 	"pimentorelay.example/pimento/scheduler"
 	"pimentorelay.example/pimento/timekeeper"
 )
@@ -193,3 +195,27 @@
 	is.Equal(got[0].Kind, avoider.ChangeInvalid)
 	n.mustAcquire(t, "b")
 }
+
+// TestPermitForUpstreamThatIsOut guards against a request that is sent to an upstream which
+// takes no new work, as its process knows and the dispatcher does not yet.
+func TestPermitForUpstreamThatIsOut(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(t)
+	p, _ := n.mustAcquire(t, "b")
+	b := n.nodes["b"]
+	b.mu.Lock()
+	next := *b.state
+	b.mu.Unlock()
+	next.Upstreams = slices.Clone(next.Upstreams)
+	next.Upstreams[0].Usable = false
+	b.Update(&next)
+	_, _, err := p.Serve(t.Context(), request(testTimeout), nil)
+	var out *pimento.OutcomeError
+	is.True(errors.As(err, &out))
+	is.Equal(out.Reason, pimento.ReasonAvoided)
+	p.Done(err)
+	n.mustAcquire(t, "c") // the dispatcher knows nothing of it
+	_, err = b.Acquire(t.Context(), request(testTimeout), forwarder.AttemptState{Number: 1, Again: true})
+	is.True(errors.As(err, &out))
+	is.Equal(out.Outcome, pimento.OutcomeNotRun)
+}
