Check a request with a short body after the body has come, before anything is written

A body of up to 4 KB is written together with the head once the caller has sent it, which may take seconds: the check came before. The body of a request whose permit was not used is read again.

--- a/connector/client.go
+++ b/connector/client.go
@@ -246,13 +246,9 @@
 			return pimento.Answer{}, pimento.AnswerMetadata{}, pimento.NotRun(pimento.ReasonUpstreamLost, err.Error())
 		}
 	}
-	if err := c.checkSend(ctx); err != nil {
-		cn.Close()
-		return pimento.Answer{}, pimento.AnswerMetadata{}, err
-	}
-	e := &exchange{client: c, conn: cn, request: r, writtenAt: timekeeper.Now()}
+	e := &exchange{client: c, conn: cn, request: r}
 	e.stop = context.AfterFunc(ctx, func() { cn.Close() })
-	answer, metadata, err := e.roundTrip(body)
+	answer, metadata, err := e.roundTrip(ctx, body)
 	if err != nil {
 		e.finish(false)
 		if ctx.Err() != nil {
@@ -290,7 +286,15 @@
 }
 
 // roundTrip writes the request and reads the head of its answer.
-func (e *exchange) roundTrip(body io.Reader) (pimento.Answer, pimento.AnswerMetadata, error) {
+func (e *exchange) roundTrip(ctx context.Context, body io.Reader) (pimento.Answer, pimento.AnswerMetadata, error) {
+	body, err := e.readShortBody(body)
+	if err != nil {
+		return pimento.Answer{}, pimento.AnswerMetadata{}, pimento.Unknown(pimento.ReasonUpstreamLost, err.Error())
+	}
+	if err := e.client.checkSend(ctx); err != nil {
+		return pimento.Answer{}, pimento.AnswerMetadata{}, err
+	}
+	e.writtenAt = timekeeper.Now()
 	if err := e.writeRequest(body); err != nil {
 		return pimento.Answer{}, pimento.AnswerMetadata{}, pimento.Unknown(pimento.ReasonUpstreamLost, err.Error())
 	}
--- a/connector/notice.go
+++ b/connector/notice.go
@@ -1,8 +1,10 @@
 package connector
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"io"
 	"time"
 
 	"pimentorelay.example/pimento"
@@ -20,6 +22,19 @@
 	return c.CheckSend()
 }
 
+// readShortBody reads a body that is written together with the head. The caller may send it
+// slowly, and nothing must be written before the last check.
+func (e *exchange) readShortBody(body io.Reader) (io.Reader, error) {
+	if n := e.request.BodyLength; n <= 0 || n > bufferSize {
+		return body, nil
+	}
+	data := make([]byte, e.request.BodyLength)
+	if _, err := io.ReadFull(body, data); err != nil {
+		return nil, err
+	}
+	return bytes.NewReader(data), nil
+}
+
 // endedBeforeSend returns the error of a request whose context ended before any of it
 // was written.
 func endedBeforeSend(ctx context.Context) error {
--- a/connector/notice_test.go
+++ b/connector/notice_test.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -41,6 +43,47 @@
 	is.Equal(len(s.received()), 0)
 }
 
+// barringBody is a short body that arrives late: its upstream is barred meanwhile.
+type barringBody struct {
+	io.Reader
+	bar func()
+}
+
+// Read implements io.Reader.
+func (b *barringBody) Read(p []byte) (int, error) {
+	b.bar()
+	return b.Reader.Read(p)
+}
+
+// TestBarredWhileBodyArrived guards against a request that is written, after its caller has
+// sent its body slowly, to an upstream that has said meanwhile that it leaves.
+func TestBarredWhileBodyArrived(t *testing.T) {
+	is := is.New(t)
+	s := newFakeServer(t, func(p *peer) {
+		if _, err := p.readRequest(true); err == nil {
+			p.writeAnswer("r1", "ran")
+		}
+	})
+	c := s.client()
+	barred := false
+	c.CheckSend = func() error {
+		if barred {
+			return pimento.NotRun(pimento.ReasonAvoided, "it leaves")
+		}
+		return nil
+	}
+	body := &barringBody{Reader: strings.NewReader(strings.Repeat("x", bufferSize)), bar: func() { barred = true }}
+	r := newRequest("r1", http.MethodPost, "")
+	r.BodyLength = bufferSize
+	_, _, err := c.Send(t.Context(), r, body)
+	var out *pimento.OutcomeError
+	is.True(errors.As(err, &out))
+	is.Equal(out.Outcome, pimento.OutcomeNotRun)
+	is.Equal(out.Reason, pimento.ReasonAvoided)
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(len(s.received()), 0)
+}
+
 // TestEveryAnswerIsHeard guards against news that is read from the answers to requests
 // alone, or from those of another upstream.
 func TestEveryAnswerIsHeard(t *testing.T) {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -151,7 +151,7 @@
 	unused := 0 // permits
 	for {
 		answer, err := f.attempt(ctx, r, rewindable, &attempt, trace)
-		if attempt.Again = isAvoided(err); attempt.Again && unused < maxUnusedPermits && ctx.Err() == nil {
+		if attempt.Again = isAvoided(err); attempt.Again && unused < maxUnusedPermits && ctx.Err() == nil && rewindable.rewind() {
 			unused++
 			continue
 		}
--- a/forwarder/unused_test.go
+++ b/forwarder/unused_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -36,7 +37,10 @@
 func (p *unusedPermit) Done(error)                     { p.dispatcher.returned++ }
 
 // Serve implements Permit.
-func (p *unusedPermit) Serve(context.Context, *pimento.Request, io.Reader) (pimento.Answer, pimento.AnswerMetadata, error) {
+func (p *unusedPermit) Serve(_ context.Context, _ *pimento.Request, body io.Reader) (pimento.Answer, pimento.AnswerMetadata, error) {
+	if text, err := io.ReadAll(body); err != nil || string(text) != "body" {
+		return pimento.Answer{}, pimento.AnswerMetadata{}, pimento.Unknown(pimento.ReasonBodyCut, string(text))
+	}
 	if !p.unused {
 		return pimento.Answer{Body: io.NopCloser(nil), Head: pimento.AnswerHead{Status: 200, BodyLength: maxBufferedBody + 1}}, pimento.AnswerMetadata{}, nil
 	}
@@ -57,7 +61,7 @@
 		f := &Forwarder{Dispatcher: d}
 		r := &pimento.Request{Method: "POST", Route: &pimento.Route{MaxAttempts: 1}, Deadline: time.Now().Add(time.Minute)}
 		trace := &Trace{}
-		answer, err := f.forward(t.Context(), r, nil, trace)
+		answer, err := f.forward(t.Context(), r, strings.NewReader("body"), trace)
 		is.Equal(err == nil, c.answered)
 		is.Equal(len(d.attempts), min(c.unused, maxUnusedPermits)+1)
 		for i, attempt := range d.attempts {
