Simulate an upstream that leaves by its answers alone, over a change of leader

The entry in the store stays as it was; one member is told. All members must know it a second later, under the next leader too; the upstream gets no keys until it starts anew.

--- a/leader/cluster_test.go
+++ b/leader/cluster_test.go
@@ -40,6 +40,7 @@
 	strongHosts    []pimento.HostName
 	noLoad         bool                                  // so that no keys move for balance
 	limitReports   map[pimento.HostName][]limiter.Report // for the next report of a host
+	toldLeaving    map[pimento.HostName]pimento.Run      // which its answers to a host say leaves
 	lostAnswerRate float64                               // share of the writes that take effect without an answer
 	lateWriteRate  float64                               // share of the writes that take effect late, without an answer
 	lateGrantRate  float64                               // share of the grants that take effect late, without an answer
@@ -575,7 +576,7 @@
 	base := int(time.Since(p.cluster.started)/(4*time.Second)) * 9001
 	var out []messenger.KeyLoad
 	if p.cluster.hasNoLoad() {
-		return messenger.Report{Limits: p.cluster.takeLimitReports(p.self.Host)}
+		return messenger.Report{Limits: p.cluster.takeLimitReports(p.self.Host), Leaving: p.leavingRuns()}
 	}
 	for i := range 8 {
 		out = append(out, messenger.KeyLoad{Service: simService, Key: pimento.Key((base + i*7) % 65536), Count: 2})
@@ -583,6 +584,20 @@
 	return messenger.Report{Loads: out}
 }
 
+// leavingRuns returns the run that its answers say leaves, while the state that the process
+// has does not.
+func (p *process) leavingRuns() []pimento.Run {
+	p.cluster.mu.Lock()
+	defer p.cluster.mu.Unlock()
+	run, told := p.cluster.toldLeaving[p.self.Host]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if state, known := p.upstreamStates[run.Upstream]; !told || !known || state == pimento.StateLeaving {
+		return nil
+	}
+	return []pimento.Run{run}
+}
+
 // takeLimitReports returns what a host reports of limits, once.
 func (cl *cluster) takeLimitReports(host pimento.HostName) []limiter.Report {
 	cl.mu.Lock()
--- a/leader/notices_test.go
+++ b/leader/notices_test.go
@@ -62,3 +62,45 @@
 	tm.pauses.prune(now.Add(2 * time.Second))
 	is.Equal(len(tm.pauses), 0)
 }
+
+// TestLeavingByAnswersReachesMembers guards against an upstream whose answers tell one
+// process that it leaves, with its entry in the store as before, and that keeps its keys or
+// gets them back: under the leader, under the next one, and before it starts anew.
+func TestLeavingByAnswersReachesMembers(t *testing.T) {
+	for seed := range uint64(8) {
+		runCluster(t, seed+1, true, func(cl *cluster) {
+			leader := cl.leaderHost()
+			cl.mu.Lock()
+			told := cl.hosts[seed%simProcesses]
+			if told == leader {
+				told = cl.hosts[(seed+1)%simProcesses]
+			}
+			u := cl.upstreams["u0"]
+			cl.toldLeaving = map[pimento.HostName]pimento.Run{told: {Upstream: "u0", Started: u.server.Started}}
+			cl.mu.Unlock()
+			check := func(when string) {
+				t.Helper()
+				if hosts := cl.hostsUsing("u0"); len(hosts) > 0 {
+					t.Errorf("seed %d, %s: %v regard the leaving upstream as usable", seed+1, when, hosts)
+				}
+			}
+			time.Sleep(time.Second)
+			check("told")
+			time.Sleep(3 * time.Second)
+			if n := cl.heldByUpstream()["u0"]; n > 0 {
+				t.Errorf("seed %d: the leaving upstream holds %d keys", seed+1, n)
+			}
+			cl.killProcess(leader)
+			time.Sleep(recoveryTime)
+			check("under the next leader")
+			if n := cl.heldByUpstream()["u0"]; n > 0 {
+				t.Errorf("seed %d: under the next leader, the leaving upstream holds %d keys", seed+1, n)
+			}
+			cl.restartUpstream("u0")
+			time.Sleep(recoveryTime)
+			if hosts := cl.hostsUsing("u0"); len(hosts) == 0 {
+				t.Errorf("seed %d: nobody uses the upstream that has started anew", seed+1)
+			}
+		})
+	}
+}
