--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -101,6 +101,9 @@
 	RetryBudget RetryBudget // once running, change it with SetRetryBudget
 	// OnLimit is called for each change of the limit of an upstream; it may be nil.
 	OnLimit func(limiter.Change)
+	// OnCrashFinding is called for each finding about a request that may crash
+	// upstreams; it may be nil.
+	OnCrashFinding func(CrashFinding)
 	// OnNotice is called for each change of what answers have said of requests to come;
 	// it may be nil.
 	OnNotice func(avoider.Change)
@@ -109,6 +112,7 @@
 
 	mu         sync.Mutex
 	quarantine *quarantiner.Machine
+	findings   []CrashFinding // since the last tick
 	state      *Snapshot
 	pools      map[poolKey]*pool
 	skipUntil  map[pimento.ProcessID]time.Time // dispatchers that did not answer
@@ -388,9 +392,12 @@
 	for _, p := range a.pools {
 		waiting = waiting || p.machine.Waiting() > 0
 	}
+	findings := a.findings
+	a.findings = nil
 	a.mu.Unlock()
 	runAll(callbacks)
 	a.reportLimits(changes)
+	a.reportFindings(findings)
 	a.reportNotices(notices)
 	return waiting
 }
--- a/connector/notice.go
+++ b/connector/notice.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"time"
 
@@ -14,7 +13,7 @@
 // ended, or CheckSend stops it.
 func (c *Client) checkSend(ctx context.Context) error {
 	if ctx.Err() != nil {
-		return endedBeforeSend(ctx)
+		return pimento.NotRun(contextReason(ctx), "it ended before it was sent")
 	}
 	if c.CheckSend == nil {
 		return nil
@@ -35,18 +34,6 @@
 	return bytes.NewReader(data), nil
 }
 
-// endedBeforeSend returns the error of a request whose context ended before any of it
-// was written.
-func endedBeforeSend(ctx context.Context) error {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return pimento.NotRun(pimento.ReasonTimeout, "the deadline passed before the request was sent")
-	}
-	if errors.Is(context.Cause(ctx), pimento.ErrStopping) {
-		return pimento.NotRun(pimento.ReasonStopping, pimento.ErrStopping.Error())
-	}
-	return pimento.NotRun(pimento.ReasonCallerGone, "the caller has left")
-}
-
 // observeAnswer passes the metadata of an answer to OnAnswer, unless it is from another
 // upstream, which now has the address.
 func (c *Client) observeAnswer(writtenAt time.Time, m pimento.AnswerMetadata) {
--- a/event.go
+++ b/event.go
@@ -40,6 +40,9 @@
 	EventLimitNamed      EventNumber = 5006
 	EventLimitEnded      EventNumber = 5007
 	EventLimitInvalid    EventNumber = 5008
+	EventCrashCounted    EventNumber = 5009
+	EventCrashDropped    EventNumber = 5010
+	EventRequestRefused  EventNumber = 5011
 	EventLeavingNamed    EventNumber = 5020
 	EventPauseNamed      EventNumber = 5021
 	EventPauseEnded      EventNumber = 5022
@@ -88,6 +91,9 @@
 	EventLimitNamed:      "upstream names a limit",
 	EventLimitEnded:      "upstream names no limit any more",
 	EventLimitInvalid:    "upstream names a limit that is not valid",
+	EventCrashCounted:    "crash of an upstream counts against a request",
+	EventCrashDropped:    "broken connection or crashes count for nothing",
+	EventRequestRefused:  "request that crashes upstreams is refused",
 	EventLeavingNamed:    "upstream says that it leaves",
 	EventPauseNamed:      "upstream wants no requests from this process",
 	EventPauseEnded:      "upstream takes requests from this process again",
@@ -144,3 +150,11 @@
 	Name       string
 	Attributes []Attribute
 }
+
+// Age describes for the log how long ago t was, to a millisecond: Never if t is zero.
+func Age(now, t time.Time) string {
+	if t.IsZero() {
+		return "Never"
+	}
+	return now.Sub(t).Round(time.Millisecond).String()
+}
--- a/leader/heartbeat.go
+++ b/leader/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -127,6 +128,15 @@
 	if l.term != nil {
 		l.term.applyReport(now, r.Report)
 		l.term.applyNotices(now, m.process.ID, r.Report)
+		l.logCrashReports(m.process.ID, r.Report.CrashReports)
+	}
+}
+
+// logCrashReports logs the crash reports of a member that were counted.
+func (l *Leader) logCrashReports(from pimento.ProcessID, reports []quarantiner.Fingerprint) {
+	for _, p := range reports {
+		l.Events.Emit(pimento.EventCrashCounted, "Fingerprint", fmt.Sprintf("%016x", uint64(p)), "Evidence", quarantiner.EvidenceReport,
+			"Crashes", l.term.quarantine.Crashes(p), "From", from)
 	}
 }
 
@@ -210,13 +220,15 @@
 // heartbeats.
 const joinRetryInterval = 300 * time.Millisecond
 
-// HandleJoin adds a process that announces itself, if this process leads.
+// HandleJoin adds a process that announces itself, if this process leads. A Join may
+// arrive late, after a later process of its host has registered.
 func (l *Leader) HandleJoin(p pimento.Process) {
 	l.inbox <- func() {
-		if l.term == nil || p.ID == l.Self.ID {
+		known := l.registered[p.Host]
+		if l.term == nil || p.ID == l.Self.ID || p.Started.Before(known.process.Started) {
 			return
 		}
-		l.registered[p.Host] = registeredProcess{process: p, revision: l.registered[p.Host].revision}
+		l.registered[p.Host] = registeredProcess{process: p, revision: known.revision}
 		l.updateMembers(timekeeper.Now())
 	}
 }
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -79,6 +79,9 @@
 	// Manifest returns the manifest in force here, nil if none is known, and its
 	// encoding in the store.
 	Manifest() (*pimento.Manifest, []byte)
+	// ManifestReadAt returns when the last answered read of the manifest in the store
+	// by this process began, zero if there was none.
+	ManifestReadAt() time.Time
 	// Report returns the measurements since the last report.
 	Report() messenger.Report
 	// Versions returns the versions of the state that this process has.
@@ -356,6 +359,7 @@
 		t.applyReport(now, report)
 		t.applyNotices(now, l.Self.ID, report)
 		t.pauses.prune(now)
+		l.logCrashReports(l.Self.ID, report.CrashReports)
 	}
 	if !t.listing && !now.Before(t.listAt) {
 		l.readUpstreams(now)
@@ -389,8 +393,9 @@
 	}
 	return keeper.Input{
 		Authority: l.elector.AuthorityUntil(), Settled: settled,
-		Ended:        l.term.upstreams.ended,
-		AddressKnown: func(r pimento.Run) bool { _, ok := l.term.serverOf(r); return ok },
+		Ended:         l.term.upstreams.ended,
+		AddressKnown:  func(r pimento.Run) bool { _, ok := l.term.serverOf(r); return ok },
+		UpstreamKnown: func(name pimento.UpstreamName) bool { _, ok := l.term.servers[name]; return ok },
 	}
 }
 
--- a/router/observer.go
+++ b/router/observer.go
@@ -10,9 +10,11 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/admitter"
 	"pimentorelay.example/pimento/avoider"
 	"pimentorelay.example/pimento/forwarder"
 	"pimentorelay.example/pimento/limiter"
+	"pimentorelay.example/pimento/quarantiner"
 	"pimentorelay.example/pimento/recorder"
 	"pimentorelay.example/pimento/timekeeper"
 )
@@ -22,6 +24,9 @@
 	events  *recorder.Recorder
 	metrics *metrics.Set
 	epoch   func() uint64 // of the latest known term
+	// manifestReadAt and manifestVouchedAt return when the store was last read for a
+	// manifest, and when the leader last announced no newer one; zero: never.
+	manifestReadAt, manifestVouchedAt func() time.Time
 
 	usedManifest atomic.Uint64 // latest version under which a request has ended
 }
@@ -119,6 +124,24 @@
 	}
 }
 
+// crashFound logs and records a finding about a request that may crash upstreams.
+// Broken connections that count for nothing are not kept on the timeline.
+func (o *observer) crashFound(f admitter.CrashFinding) {
+	o.count("relay_crash_findings_total", "Kind", f.Kind, "Evidence", f.Evidence)
+	attributes := []any{"Fingerprint", fmt.Sprintf("%016x", uint64(f.Fingerprint)), "Evidence", f.Evidence, "Crashes", f.Count}
+	if f.Upstream != "" {
+		attributes = append(attributes, "Upstream", f.Upstream, "Started", f.Started, "After", roundToMillis(f.After))
+	}
+	switch f.Kind {
+	case quarantiner.FindingCounted:
+		o.events.Emit(pimento.EventCrashCounted, attributes...)
+	case quarantiner.FindingRefused:
+		o.events.Emit(pimento.EventRequestRefused, attributes...)
+	default:
+		o.events.LogOnly(pimento.EventCrashDropped, append(attributes, "Kind", f.Kind)...)
+	}
+}
+
 // countRequest records the outcome and duration of a request.
 func (o *observer) countRequest(route pimento.RouteName, outcome pimento.Outcome, reason pimento.Reason, t *forwarder.Trace) {
 	o.count("relay_requests_total", "Route", route, "Outcome", outcome, "Reason", reason)
@@ -146,6 +169,7 @@
 		out = append(out, "Route", r.Route.Name, "Service", r.Service)
 	} else {
 		out = append(out, "Method", r.Method, "Host", r.Host)
+		out = append(out, "Read", pimento.Age(now, o.manifestReadAt()), "Vouched", pimento.Age(now, o.manifestVouchedAt()))
 	}
 	if r.Keyed {
 		out = append(out, "Key", r.Key)
