--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -26,10 +26,12 @@
 	"time"
 
 	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/avoider"
 	"pimentorelay.example/pimento/limiter"
 	"pimentorelay.example/pimento/messenger"
 	"pimentorelay.example/pimento/quarantiner"
 	"pimentorelay.example/pimento/scheduler"
+	"pimentorelay.example/pimento/timekeeper"
 )
 
 const (
@@ -102,6 +104,11 @@
 	// OnCrashFinding is called for each finding about a request that may crash
 	// upstreams; it may be nil.
 	OnCrashFinding func(quarantiner.Finding)
+	// OnNotice is called for each change of what answers have said of requests to come;
+	// it may be nil.
+	OnNotice func(avoider.Change)
+	// LeavingBound is the time within which a leaving upstream must get no new work.
+	LeavingBound time.Duration // once running, change it with SetLeavingBound
 
 	mu         sync.Mutex
 	quarantine *quarantiner.Machine
@@ -114,6 +121,7 @@
 	wake       chan struct{}
 	lastTicket uint64
 	limits     limiter.Book
+	avoided    avoider.Book
 	once       sync.Once
 }
 
@@ -159,6 +167,7 @@
 		a.state = &Snapshot{}
 		a.quarantine = quarantiner.New()
 		a.probes = make(map[quarantiner.Run]time.Time)
+		a.avoided.LeavingDelay = leavingDelay(a.LeavingBound)
 	})
 }
 
@@ -173,6 +182,7 @@
 	}
 	a.state = next
 	a.observeRuns(now)
+	notices := a.avoided.Retain(timekeeper.Now(), next.runs())
 	var callbacks []func()
 	for key, p := range a.pools {
 		callbacks = append(callbacks, a.applyDecisions(now, p, a.updatePool(key, p))...)
@@ -182,6 +192,7 @@
 	a.limits.Retain(now, a.isKnown)
 	a.mu.Unlock()
 	runAll(callbacks)
+	a.reportNotices(notices)
 }
 
 // isKnown reports whether an upstream is registered. The caller holds mu.
@@ -207,6 +218,7 @@
 	var list []scheduler.Upstream
 	for _, u := range a.state.Upstreams {
 		if u.Service == key.service && pimento.PoolOf(u.Name, count) == key.index {
+			u.Usable = u.Usable && !a.isLeftBy(u)
 			list = append(list, u)
 		}
 	}
@@ -386,6 +398,7 @@
 	now := time.Now()
 	a.mu.Lock()
 	changes, callbacks := a.applyLimits(now)
+	notices := a.avoided.Tick(timekeeper.Now())
 	for _, p := range a.pools {
 		a.endLostPermits(now, p)
 		callbacks = append(callbacks, a.applyDecisions(now, p, p.machine.Tick(now))...)
@@ -403,6 +416,7 @@
 	a.reportLimits(changes)
 	a.reportFindings(findings)
 	a.probeRuns(suspected)
+	a.reportNotices(notices)
 	return waiting
 }
 
--- a/connector/control.go
+++ b/connector/control.go
@@ -206,6 +206,7 @@
 	}
 	req.Header["User-Agent"] = nil
 	c.Wire.WriteTarget(req.Header, &c.Server)
+	writtenAt := timekeeper.Now()
 	if err := req.Write(cn.w); err != nil {
 		return reply{}, false, err
 	}
@@ -216,6 +217,7 @@
 	if err != nil {
 		return reply{}, false, err
 	}
+	c.observeAnswer(writtenAt, c.Wire.ReadAnswer(res.StatusCode, res.Header.Clone()))
 	complete, err := discard(res.Body)
 	if err != nil {
 		return reply{}, false, err
--- a/event.go
+++ b/event.go
@@ -43,6 +43,10 @@
 	EventCrashCounted    EventNumber = 5009
 	EventCrashDropped    EventNumber = 5010
 	EventRequestRefused  EventNumber = 5011
+	EventLeavingNamed    EventNumber = 5020
+	EventPauseNamed      EventNumber = 5021
+	EventPauseEnded      EventNumber = 5022
+	EventPauseInvalid    EventNumber = 5023
 	EventGrantFailed     EventNumber = 4007
 	EventReleased        EventNumber = 4008
 	EventKeysMoved       EventNumber = 4009
@@ -90,6 +94,10 @@
 	EventCrashCounted:    "crash of an upstream counts against a request",
 	EventCrashDropped:    "broken connection or crashes count for nothing",
 	EventRequestRefused:  "request that crashes upstreams is refused",
+	EventLeavingNamed:    "upstream says that it leaves",
+	EventPauseNamed:      "upstream wants no requests from this process",
+	EventPauseEnded:      "upstream takes requests from this process again",
+	EventPauseInvalid:    "upstream names a pause that is not valid",
 	EventGrantFailed:     "grant of keys failed",
 	EventReleased:        "release of keys ended",
 	EventKeysMoved:       "keys go to another upstream",
--- a/router/observer.go
+++ b/router/observer.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/avoider"
 	"pimentorelay.example/pimento/forwarder"
 	"pimentorelay.example/pimento/limiter"
 	"pimentorelay.example/pimento/quarantiner"
@@ -110,6 +111,21 @@
 	}
 }
 
+// noticeChanged logs and counts what answers have said of requests to come.
+func (o *observer) noticeChanged(c avoider.Change) {
+	o.count("relay_upstream_notices_total", "Kind", c.Kind)
+	switch c.Kind {
+	case avoider.ChangeLeaving:
+		o.events.Emit(pimento.EventLeavingNamed, "Upstream", c.Run.Upstream)
+	case avoider.ChangePaused:
+		o.events.Emit(pimento.EventPauseNamed, "Upstream", c.Run.Upstream, "For", roundToMillis(c.Until.Sub(timekeeper.Now())))
+	case avoider.ChangeEnded:
+		o.events.Emit(pimento.EventPauseEnded, "Upstream", c.Run.Upstream)
+	case avoider.ChangeInvalid:
+		o.events.Emit(pimento.EventPauseInvalid, "Upstream", c.Run.Upstream, "Value", c.Invalid)
+	}
+}
+
 // crashFound logs and records a finding about a request that may crash upstreams.
 // Broken connections that count for nothing are not kept on the timeline.
 func (o *observer) crashFound(f quarantiner.Finding) {
--- a/router/router.go
+++ b/router/router.go
@@ -139,7 +139,10 @@
 		manifestConfirmedAt: func() time.Time { return r.follower.confirmer.at() },
 	}
 	r.messenger = &messenger.Messenger{Self: r.self, Handler: (*handler)(r)}
-	r.admitter = &admitter.Admitter{Self: r.self, Peers: r.messenger, Wire: r.UpstreamWire, RetryBudget: retryBudget(r.Bounds), OnLimit: r.observer.limitChanged, OnCrashFinding: r.observer.crashFound}
+	r.admitter = &admitter.Admitter{
+		Self: r.self, Peers: r.messenger, Wire: r.UpstreamWire, RetryBudget: retryBudget(r.Bounds), LeavingBound: r.Bounds.Leaving,
+		OnLimit: r.observer.limitChanged, OnCrashFinding: r.observer.crashFound, OnNotice: r.observer.noticeChanged,
+	}
 	r.registrar = &registrar.Registrar{Self: r.self, Peers: r.messenger, Events: r.events}
 	r.follower = &follower{router: r, announcedNewer: make(chan struct{}, 1)}
 	r.follower.confirmer = newConfirmer(r.follower.readManifest, func() time.Duration { return r.bounds.Load().Apply })
@@ -168,6 +171,7 @@
 func (r *Router) SetBounds(b pimento.Bounds) {
 	r.bounds.Store(&b)
 	r.admitter.SetRetryBudget(retryBudget(b))
+	r.admitter.SetLeavingBound(b.Leaving)
 }
 
 // LogEvent logs an event of the program that runs the Router.
