Step the leader once for the messages that wait

Cause, part 1: Leader.Run did all of its periodic work after every message, and the changes of the owners were found anew for each of 81 members. Change: the messages that wait are handled, then one step follows, no sooner than 5 ms after the last one or three times what that took (40 ms at most). The election still advances after every message. Changes of owners and upstreams are found once for each pair of versions; owners, roster and reports are built only if they changed; rows of the keeper are sorted and found by search. The histogram relay_leader_wait_seconds and the gauges relay_leader_delay and relay_key_ranges show the loop's delay and the number of ranges.

--- a/keeper/machine.go
+++ b/keeper/machine.go
@@ -28,6 +28,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 
@@ -182,10 +183,34 @@
 			next = append(next, m.adoptHolding(now, t.Service, h, a.Restored))
 		}
 	}
+	slices.SortStableFunc(next, compareRows)
 	m.rows = next
 	m.pruneRuns()
 }
 
+// compareRows orders rows by service and key.
+func compareRows(a, b *row) int {
+	return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.holding.From, b.holding.From))
+}
+
+// overlapping returns the rows of a service whose ranges overlap a range.
+func (m *Machine) overlapping(service pimento.ServiceName, keys pimento.KeyRange) []*row {
+	first, _ := slices.BinarySearchFunc(m.rows, keys.From, func(r *row, from pimento.Key) int {
+		if c := cmp.Compare(r.service, service); c != 0 {
+			return c
+		}
+		if r.holding.To < from {
+			return -1
+		}
+		return 1
+	})
+	end := first
+	for end < len(m.rows) && m.rows[end].service == service && m.rows[end].holding.From <= keys.To {
+		end++
+	}
+	return m.rows[first:end]
+}
+
 // adoptHolding returns the row of a holding. It keeps the state of the present
 // row if the fence is the same, and knows until when other holders of its keys may
 // have them. If the assignment was restored from a copy, a holder that it does not
@@ -193,16 +218,17 @@
 func (m *Machine) adoptHolding(now time.Time, service pimento.ServiceName, h pimento.Holding, restored bool) *row {
 	free := h.Former.IsZero() && !restored
 	next := &row{service: service, holding: h, freed: free, grantAt: now}
-	for _, r := range m.rows {
-		if r.service == service && r.holding.Overlaps(h.KeyRange) && r.holding.Fence == h.Fence {
+	before := m.overlapping(service, h.KeyRange)
+	for _, r := range before {
+		if r.holding.Fence == h.Fence {
 			piece := *r
 			piece.holding = h
 			piece.freed = r.freed || free
 			next = &piece
 		}
 	}
-	for _, r := range m.rows {
-		if r.service == service && r.holding.Overlaps(h.KeyRange) && r.holding.Fence != h.Fence {
+	for _, r := range before {
+		if r.holding.Fence != h.Fence {
 			next.noteHolder(r.holding.Holder, later(r.mayHoldUntil, r.pendingExpiry))
 			if !r.freed {
 				next.noteHolder(r.holding.Former, r.formerMayHoldUntil)
@@ -253,6 +279,9 @@
 	return reach
 }
 
+// Len returns the number of holdings.
+func (m *Machine) Len() int { return len(m.rows) }
+
 // Step returns the calls that are due.
 func (m *Machine) Step(now time.Time, in Input) []Call {
 	var calls []Call
@@ -324,8 +353,8 @@
 // since moved to another holder.
 func (m *Machine) rowsFor(c Call) []*row {
 	var out []*row
-	for _, r := range m.rows {
-		if r.service == c.Service && r.holding.Fence == c.Grant.Fence && r.holding.Overlaps(c.Grant.Range) {
+	for _, r := range m.overlapping(c.Service, c.Grant.Range) {
+		if r.holding.Fence == c.Grant.Fence {
 			out = append(out, r)
 		}
 	}
@@ -352,10 +381,7 @@
 	m.updateReachability(now, c.Run, result)
 	// A fenced grant was refused, so it does not extend the hold.
 	mayHaveArrived := result != ResultUnsent && result != ResultFenced
-	for _, r := range m.rows {
-		if r.service != c.Service || !r.holding.Overlaps(c.Grant.Range) {
-			continue
-		}
+	for _, r := range m.overlapping(c.Service, c.Grant.Range) {
 		if mayHaveArrived && r.holding.Former.Same(c.Run) {
 			r.formerMayHoldUntil = later(r.formerMayHoldUntil, m.timing.expiry(now))
 		}
@@ -447,31 +473,44 @@
 
 // States returns the states of all holdings in order of service and key.
 func (m *Machine) States(now time.Time, in Input) []State {
-	out := make([]State, 0, len(m.rows))
-	for _, r := range m.rows {
-		h := r.holding
-		ended := in.Ended(h.Holder)
-		reach, known := m.runs[keyOf(h.Holder)]
-		s := State{
-			Service: r.service, Holding: h, Freed: r.isFree(now),
-			Ready: r.isFree(now) && !ended && now.Before(r.validUntil),
-			Lost:  ended || known && reach.lost, Fenced: r.fenced,
-		}
-		s.LapsesAt = later(later(r.mayHoldUntil, r.pendingExpiry), m.timing.earlierExpiry(in))
-		if ended || h.Holder.IsZero() {
-			s.LapsesAt = time.Time{}
+	return slices.AppendSeq(make([]State, 0, len(m.rows)), m.All(now, in))
+}
+
+// All returns the states of all holdings, one by one, in order of service and key.
+func (m *Machine) All(now time.Time, in Input) iter.Seq[State] {
+	earlier := m.timing.earlierExpiry(in)
+	return func(yield func(State) bool) {
+		for _, r := range m.rows {
+			if !yield(m.state(now, r, in, earlier)) {
+				return
+			}
 		}
-		out = append(out, s)
 	}
-	slices.SortFunc(out, func(a, b State) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.From, b.From))
-	})
-	return out
+}
+
+// state returns the state of a row; earlier is when the grants of earlier leaders expire.
+func (m *Machine) state(now time.Time, r *row, in Input, earlier time.Time) State {
+	h := r.holding
+	ended := in.Ended(h.Holder)
+	free := r.isFree(now)
+	reach, known := m.runs[keyOf(h.Holder)]
+	s := State{
+		Service: r.service, Holding: h, Freed: free,
+		Ready: free && !ended && now.Before(r.validUntil),
+		Lost:  ended || known && reach.lost, Fenced: r.fenced,
+	}
+	if !ended && !h.Holder.IsZero() {
+		s.LapsesAt = later(later(r.mayHoldUntil, r.pendingExpiry), earlier)
+	}
+	return s
 }
 
 // LostRuns returns the holders that do not answer, so that they can be probed.
 func (m *Machine) LostRuns() []pimento.Run {
 	var out []pimento.Run
+	if !m.anyLost() {
+		return nil
+	}
 	for _, r := range m.rows {
 		if reach, ok := m.runs[keyOf(r.holding.Holder)]; ok && reach.lost && !slices.ContainsFunc(out, r.holding.Holder.Same) {
 			out = append(out, r.holding.Holder)
@@ -480,11 +519,20 @@
 	return out
 }
 
+func (m *Machine) anyLost() bool {
+	for _, reach := range m.runs {
+		if reach.lost {
+			return true
+		}
+	}
+	return false
+}
+
 // FormerCleared reports whether the former holder of a holding cannot hold its
 // keys any more, so that the assignment may drop it.
 func (m *Machine) FormerCleared(service pimento.ServiceName, h pimento.Holding) bool {
-	for _, r := range m.rows {
-		if r.service == service && r.holding.Fence == h.Fence && r.holding.From == h.From {
+	for _, r := range m.overlapping(service, h.KeyRange) {
+		if r.holding.Fence == h.Fence && r.holding.From == h.From {
 			return r.freed
 		}
 	}
--- a/leader/heartbeat.go
+++ b/leader/heartbeat.go
@@ -164,7 +164,7 @@
 
 // HandleHeartbeat replies to a leader's heartbeat.
 func (l *Leader) HandleHeartbeat(from pimento.ProcessID, q *messenger.Heartbeat, reply func(*messenger.Message)) {
-	l.inbox <- func() {
+	l.enqueue(context.Background(), func() {
 		now := timekeeper.Now()
 		l.ObserveEra(q.Era)
 		confirmed := l.elector.HandleHeartbeat(now, elector.Heartbeat{From: from, Term: q.Term, StoreLost: q.StoreLost})
@@ -179,19 +179,19 @@
 			answer.Report = l.Member.Report()
 		}
 		reply(&messenger.Message{HeartbeatReply: answer})
-	}
+	})
 }
 
 // HandleVote replies to a candidate's request for a vote.
 func (l *Leader) HandleVote(v *messenger.Vote, reply func(*messenger.Message)) {
-	l.inbox <- func() {
+	l.enqueue(context.Background(), func() {
 		term := l.elector.Term()
 		answer := &messenger.Vote{Epoch: term.Epoch, Granted: l.elector.GrantsVote(timekeeper.Now(), v.Epoch)}
 		if v.Doubtful {
 			answer.Term, answer.Processes, answer.Assignment = &term, l.processesOf(term), l.handOver()
 		}
 		reply(&messenger.Message{Vote: answer})
-	}
+	})
 }
 
 // sendJoin announces this process to the leader of the latest term as long as
@@ -221,13 +221,13 @@
 
 // HandleJoin adds a process that announces itself, if this process leads.
 func (l *Leader) HandleJoin(p pimento.Process) {
-	l.inbox <- func() {
+	l.enqueue(context.Background(), func() {
 		if l.term == nil || p.ID == l.Self.ID {
 			return
 		}
 		l.registered[p.Host] = registeredProcess{process: p, revision: l.registered[p.Host].revision}
 		l.updateMembers(timekeeper.Now())
-	}
+	})
 }
 
 // readProcesses reads the registered processes from the store.
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -111,7 +111,12 @@
 	// OnEra is called with each new era of the store that this process hears of and
 	// the one before, zero at first; it may be nil.
 	OnEra func(era, former uint64)
+	// OnDelay is called with the time that each message has waited for the loop; it may
+	// be nil.
+	OnDelay func(waited time.Duration)
 
+	delay           delay
+	ranges          atomic.Int64 // of keys, zero unless this process leads
 	inbox           chan func()
 	elector         *elector.Machine
 	keeper          *keeper.Machine
@@ -159,13 +164,18 @@
 	limits       limiter.Book
 	versions     messenger.Versions
 	owners       []messenger.Owner
-	roster       *messenger.Roster
-	selfSnapshot snapshot // state last applied to this process itself
-	spread       spread
-	servers      map[pimento.UpstreamName]pimento.Server // last known
-	queues       map[pimento.UpstreamName]*queue
-	lost         map[pimento.UpstreamName]pimento.Run // lost runs, until a probe reaches them
-	probing      map[pimento.UpstreamName]bool
+	nextOwners   []messenger.Owner // scratch space
+	ownerChanges changes[messenger.OwnerList]
+	// upstreamChanges are those of one push, since they contain the time left.
+	upstreamChanges changes[messenger.UpstreamList]
+	roster          *messenger.Roster
+	rosterOf        *pimento.Assignment // that the roster was made from
+	selfSnapshot    snapshot            // state last applied to this process itself
+	spread          spread
+	servers         map[pimento.UpstreamName]pimento.Server // last known
+	queues          map[pimento.UpstreamName]*queue
+	lost            map[pimento.UpstreamName]pimento.Run // lost runs, until a probe reaches them
+	probing         map[pimento.UpstreamName]bool
 
 	reportAt        time.Time // when to add this process's own report next
 	lastAuthorityAt time.Time
@@ -190,18 +200,7 @@
 	l.elector.Strength = l.strength
 	l.campaignBackoff = timekeeper.Backoff{Initial: campaignPause, Max: maxCampaignBackoff}
 	l.registered = make(map[pimento.HostName]registeredProcess)
-	ticker := time.NewTicker(stepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case do := <-l.inbox:
-			do()
-		case <-ticker.C:
-		}
-		l.step(ctx)
-	}
+	return l.run(ctx)
 }
 
 // Init prepares the Leader for messages. Call it before Run.
@@ -250,10 +249,7 @@
 
 // post queues a result for the goroutine of the state machines.
 func (l *Leader) post(ctx context.Context, do func()) {
-	select {
-	case l.inbox <- do:
-	case <-ctx.Done():
-	}
+	l.enqueue(ctx, do)
 }
 
 // postTerm is post for a result that is dropped once t has ended.
@@ -279,8 +275,9 @@
 	return ok && current.process.ID != id
 }
 
-// step advances the state machines to the present and carries out what is due.
-func (l *Leader) step(ctx context.Context) {
+// updateRole advances the election to the present, and begins and ends this process's
+// term. It is cheap enough to follow each message.
+func (l *Leader) updateRole(ctx context.Context) {
 	now := timekeeper.Now()
 	l.elector.Tick(now, l.ended)
 	l.authorityUntil.Store(unixNanos(l.elector.AuthorityUntil()))
@@ -296,6 +293,12 @@
 	if !l.elector.IsLeader() && l.term != nil {
 		l.endTerm()
 	}
+}
+
+// step advances the state machines to the present and carries out what is due.
+func (l *Leader) step(ctx context.Context) {
+	l.updateRole(ctx)
+	now := timekeeper.Now()
 	if l.term != nil {
 		l.stepLeader(now)
 		return
@@ -343,6 +346,7 @@
 	l.term.cancel()
 	l.term = nil
 	l.keeper = nil
+	l.ranges.Store(0)
 }
 
 // stepLeader carries out the leader's tasks that are due.
@@ -369,6 +373,7 @@
 			l.readProcesses(now)
 		}
 	}
+	l.ranges.Store(int64(l.keeper.Len()))
 	in := l.keeperInput()
 	for _, c := range l.keeper.Step(now, in) {
 		l.enqueueCall(c)
@@ -399,6 +404,9 @@
 // jitter returns a random duration below d.
 func jitter(d time.Duration) time.Duration { return rand.N(d) }
 
+// Ranges returns how many ranges of keys this process grants, zero unless it leads.
+func (l *Leader) Ranges() int { return int(l.ranges.Load()) }
+
 // manifest returns the manifest in force here, nil if none is known.
 func (l *Leader) manifest() *pimento.Manifest {
 	m, _ := l.Member.Manifest()
--- /dev/null
+++ b/leader/pace.go
@@ -0,0 +1,124 @@
+package leader
+
+import (
+	"context"
+	"math"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// minStepPause is the least time between two steps, in which messages are handled.
+	// Keys that a release has freed wait for it.
+	minStepPause = 5 * time.Millisecond
+	// stepPauseFactor is the ratio of the pause after a step to the time that the step
+	// took, up to stepInterval.
+	stepPauseFactor = 3
+	// delayDecay is the time in which a delay of the leader's loop counts for half.
+	delayDecay = time.Second
+)
+
+// pace spaces the steps of the state machines, so that handling messages has its share
+// of the processor.
+type pace struct {
+	notBefore time.Time   // the next step
+	wake      *time.Timer // fires at notBefore if a step is wanted sooner
+}
+
+func newPace() *pace {
+	p := &pace{wake: time.NewTimer(time.Hour)}
+	p.wake.Stop()
+	return p
+}
+
+// allows reports whether a step may begin now. If not, wake fires when one may.
+func (p *pace) allows(now time.Time) bool {
+	if now.Before(p.notBefore) {
+		p.wake.Reset(p.notBefore.Sub(now))
+		return false
+	}
+	p.wake.Stop()
+	return true
+}
+
+// took records a step that began and ended at the given times.
+func (p *pace) took(began, ended time.Time) {
+	pause := min(max(minStepPause, stepPauseFactor*ended.Sub(began)), stepInterval)
+	p.notBefore = ended.Add(pause)
+}
+
+// run handles messages and steps until ctx ends. The messages that wait are handled
+// before a step: its cost grows with the keys and members, theirs does not.
+func (l *Leader) run(ctx context.Context) error {
+	ticker := time.NewTicker(stepInterval)
+	defer ticker.Stop()
+	p := newPace()
+	defer p.wake.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case do := <-l.inbox:
+			do()
+			l.updateRole(ctx)
+			l.handleWaiting(ctx)
+		case <-ticker.C:
+		case <-p.wake.C:
+		}
+		if began := time.Now(); p.allows(began) {
+			l.step(ctx)
+			p.took(began, time.Now())
+		}
+	}
+}
+
+// handleWaiting handles the messages that wait now.
+func (l *Leader) handleWaiting(ctx context.Context) {
+	for range len(l.inbox) {
+		(<-l.inbox)()
+		l.updateRole(ctx)
+	}
+}
+
+// enqueue queues a message for the goroutine of the state machines and measures how
+// long it waits. It reports false if ctx ends before.
+func (l *Leader) enqueue(ctx context.Context, do func()) bool {
+	queuedAt := time.Now()
+	timed := func() {
+		now := time.Now()
+		l.delay.observe(now, now.Sub(queuedAt))
+		if l.OnDelay != nil {
+			l.OnDelay(now.Sub(queuedAt))
+		}
+		do()
+	}
+	select {
+	case l.inbox <- timed:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Delay returns how long messages have recently waited for the leader's loop: the
+// longest wait, which counts for half after each delayDecay.
+func (l *Leader) Delay() time.Duration { return l.delay.value(time.Now()) }
+
+// delay is a decaying maximum of the time that messages wait. One goroutine observes,
+// any may read.
+type delay struct {
+	longest atomic.Int64 // nanoseconds, as of at
+	at      atomic.Int64 // Unix nanoseconds
+}
+
+func (d *delay) observe(now time.Time, waited time.Duration) {
+	if waited >= d.value(now) {
+		d.longest.Store(int64(waited))
+		d.at.Store(now.UnixNano())
+	}
+}
+
+func (d *delay) value(now time.Time) time.Duration {
+	elapsed := float64(now.UnixNano()-d.at.Load()) / float64(delayDecay)
+	return time.Duration(float64(d.longest.Load()) * math.Exp2(-max(0, elapsed)))
+}
--- a/leader/push.go
+++ b/leader/push.go
@@ -25,8 +25,9 @@
 
 // updateOwners recomputes the owners and raises their version if they changed.
 func (l *Leader) updateOwners(now time.Time, in keeper.Input) {
-	var owners []messenger.Owner
-	for _, s := range l.keeper.States(now, in) {
+	t := l.term
+	owners := t.nextOwners[:0]
+	for s := range l.keeper.All(now, in) {
 		o := messenger.Owner{Service: s.Service, Range: s.KeyRange, Upstream: s.Holder.Upstream, Ready: s.Ready}
 		if n := len(owners); n > 0 && owners[n-1].Service == o.Service && owners[n-1].Upstream == o.Upstream && owners[n-1].Ready == o.Ready {
 			owners[n-1].Range.To = o.Range.To
@@ -37,12 +38,10 @@
 		}
 		owners = append(owners, o)
 	}
-	same := slices.EqualFunc(owners, l.term.owners, func(a, b messenger.Owner) bool {
-		return a.Service == b.Service && a.Range == b.Range && a.Upstream == b.Upstream && a.Ready == b.Ready
-	})
-	if !same {
-		l.term.owners = owners
-		l.term.versions.Owners++
+	t.nextOwners = owners
+	if !slices.EqualFunc(owners, t.owners, sameOwner) {
+		t.owners = slices.Clone(owners) // states hold it
+		t.versions.Owners++
 	}
 }
 
@@ -61,6 +60,7 @@
 	t.versions.Upstreams = t.upstreams.version
 	t.versions.Manifest = l.Member.Versions().Manifest
 	l.updateRoster()
+	t.upstreamChanges = changes[messenger.UpstreamList]{}
 	l.updateLimits(timekeeper.Now())
 	if state := l.missingState(l.Self.ID, l.Member.Versions(), t.selfSnapshot); state != nil {
 		l.Member.Apply(state)
@@ -101,6 +101,10 @@
 // changed.
 func (l *Leader) updateRoster() {
 	t := l.term
+	if t.rosterOf == l.assignment {
+		return
+	}
+	t.rosterOf = l.assignment
 	r := &messenger.Roster{Pools: l.assignment.Pools}
 	for _, m := range l.assignment.Members {
 		r.Processes = append(r.Processes, m.Process)
@@ -147,10 +151,10 @@
 		have = messenger.Versions{Manifest: have.Manifest}
 	}
 	if have.Upstreams != acked.versions.Upstreams {
-		acked.upstreams = nil
+		acked.upstreams, acked.versions.Upstreams = nil, 0
 	}
 	if have.Owners != acked.versions.Owners {
-		acked.owners = nil
+		acked.owners, acked.versions.Owners = nil, 0
 	}
 	out := &messenger.State{Versions: t.versions}
 	found := false
@@ -158,10 +162,10 @@
 		out.Roster, found = t.roster, true
 	}
 	if have.Upstreams < t.versions.Upstreams {
-		out.Upstreams, found = t.upstreams.message(timekeeper.Now(), acked.upstreams), true
+		out.Upstreams, found = t.changedUpstreams(acked), true
 	}
 	if have.Owners < t.versions.Owners && l.mayDispatch(id) {
-		out.Owners, found = ownerChanges(t.owners, acked.owners), true
+		out.Owners, found = t.changedOwners(acked), true
 	}
 	if have.Blocked < t.versions.Blocked {
 		out.Blocked, found = t.blocked, true
@@ -190,28 +194,6 @@
 	return before
 }
 
-// ownerChanges returns the owners that differ from those acknowledged before, or
-// all if there were none.
-func ownerChanges(now, acked []messenger.Owner) *messenger.OwnerList {
-	if acked == nil {
-		return &messenger.OwnerList{Whole: true, Owners: now}
-	}
-	before := make(map[messenger.Owner]bool, len(acked))
-	for _, o := range acked {
-		o.ReadyIn = 0
-		before[o] = true
-	}
-	out := &messenger.OwnerList{}
-	for _, o := range now {
-		key := o
-		key.ReadyIn = 0
-		if !before[key] {
-			out.Owners = append(out.Owners, o)
-		}
-	}
-	return out
-}
-
 // sendState sends a state to a member.
 func (l *Leader) sendState(m *member, state *messenger.State) {
 	t := l.term
@@ -237,11 +219,11 @@
 
 // HandleState applies a state if it comes from the leader of the current term.
 func (l *Leader) HandleState(from pimento.ProcessID, s *messenger.State, reply func(*messenger.Message)) {
-	l.inbox <- func() {
+	l.enqueue(context.Background(), func() {
 		term := l.elector.Term()
 		if s.Versions.Epoch == term.Epoch && term.Leader == from {
 			l.Member.Apply(s)
 		}
 		reply(&messenger.Message{State: &messenger.State{Versions: l.Member.Versions()}})
-	}
+	})
 }
--- a/leader/spread.go
+++ b/leader/spread.go
@@ -39,35 +39,48 @@
 		return
 	}
 	after := now.Sub(s.since)
-	lacking, silent := l.membersLacking(now, s.version)
+	lacking, silent := l.countLacking(now, s.version)
 	switch {
-	case len(lacking) == 0:
+	case lacking == 0:
 		s.complete = true
 		l.Events.Emit(pimento.EventManifestSpread, "Version", s.version, "Members", len(l.term.members), "Silent", silent, "Took", after.Round(time.Millisecond),
 			"Read", pimento.Age(now, l.Member.ManifestReadAt()))
 	case after > manifestLateAfter && !s.reportedLate:
 		s.reportedLate = true
-		named := strings.Join(lacking[:min(len(lacking), maxNamedMembers)], "; ")
-		l.Events.Emit(pimento.EventManifestMissing, "Version", s.version, "Count", len(lacking), "Silent", silent, "Lacking", named)
+		named := l.membersLacking(now, s.version)
+		named = named[:min(len(named), maxNamedMembers)]
+		l.Events.Emit(pimento.EventManifestMissing, "Version", s.version, "Count", lacking, "Silent", silent, "Lacking", strings.Join(named, "; "))
 	}
 }
 
-// membersLacking describes the members that answer and are not known to have a
-// version of the manifest, sorted, and counts those that do not answer.
-func (l *Leader) membersLacking(now time.Time, version uint64) (lacking []string, silent int) {
-	for id, m := range l.term.members {
+// countLacking counts the members that answer and are not known to have a version of the
+// manifest, and those that do not answer.
+func (l *Leader) countLacking(now time.Time, version uint64) (lacking, silent int) {
+	for _, m := range l.term.members {
 		switch {
 		case m.silent(now):
 			silent++
-		case m.versions.Manifest >= version:
+		case m.versions.Manifest < version:
+			lacking++
+		}
+	}
+	return lacking, silent
+}
+
+// membersLacking describes the members that countLacking counts as lacking, sorted.
+func (l *Leader) membersLacking(now time.Time, version uint64) []string {
+	var out []string
+	for id, m := range l.term.members {
+		switch {
+		case m.silent(now) || m.versions.Manifest >= version:
 		case m.pushing:
-			lacking = append(lacking, fmt.Sprintf("%s has %d, a state is on its way", id, m.versions.Manifest))
+			out = append(out, fmt.Sprintf("%s has %d, a state is on its way", id, m.versions.Manifest))
 		default:
-			lacking = append(lacking, fmt.Sprintf("%s has %d, missed %d heartbeats", id, m.versions.Manifest, m.missedHeartbeats))
+			out = append(out, fmt.Sprintf("%s has %d, missed %d heartbeats", id, m.versions.Manifest, m.missedHeartbeats))
 		}
 	}
-	slices.Sort(lacking)
-	return lacking, silent
+	slices.Sort(out)
+	return out
 }
 
 // observeState reports the end of the sending of a state to a member.
--- a/leader/step_bench_test.go
+++ b/leader/step_bench_test.go
@@ -66,6 +66,14 @@
 	}
 }
 
+// BenchmarkAdopt measures what a plan that is written costs the grants' state.
+func BenchmarkAdopt(b *testing.B) {
+	l := newBenchLeader()
+	for b.Loop() {
+		l.keeper.Adopt(timekeeper.Now(), l.assignment)
+	}
+}
+
 // BenchmarkOwnerChange measures what one changed owner costs the leader for all
 // members, without sending it.
 func BenchmarkOwnerChange(b *testing.B) {
@@ -73,10 +81,10 @@
 	l.updateOwners(timekeeper.Now(), in)
 	before := l.term.owners
 	versions := l.term.versions
-	l.term.versions.Owners++
 	l.term.owners = append([]messenger.Owner(nil), before...)
 	l.term.owners[0].Ready = true
 	for b.Loop() {
+		l.term.versions.Owners++
 		for id := range l.term.members {
 			l.missingState(id, versions, snapshot{versions: versions, owners: before})
 		}
--- a/router/observer.go
+++ b/router/observer.go
@@ -92,6 +92,13 @@
 	}
 }
 
+// leaderDelay returns a function that records how long a message waited for the loop of
+// package leader.
+func (o *observer) leaderDelay() func(time.Duration) {
+	h := o.metrics.GetOrCreateHistogram("relay_leader_wait_seconds")
+	return func(waited time.Duration) { h.Update(waited.Seconds()) }
+}
+
 // limitChanged logs and records a change of the limit of an upstream.
 func (o *observer) limitChanged(c limiter.Change) {
 	gauge := metricName("relay_upstream_limit", []any{"Upstream", c.Upstream})
--- a/router/operators.go
+++ b/router/operators.go
@@ -40,6 +40,8 @@
 		"relay_manifest_version":   func() float64 { return float64(r.follower.Versions().Manifest) },
 		"relay_manifest_announced": func() float64 { return float64(r.follower.announcedVersion()) },
 		"relay_manifest_read_age":  func() float64 { return ageSeconds(r.follower.ManifestReadAt()) },
+		"relay_leader_delay":       func() float64 { return r.leader.Delay().Seconds() },
+		"relay_key_ranges":         func() float64 { return float64(r.leader.Ranges()) },
 		"relay_unheld_keys":        func() float64 { return float64(r.follower.unheldKeys()) },
 		"relay_waiting_requests":   func() float64 { return float64(r.admitter.Waiting()) },
 		"relay_active_requests":    func() float64 { return float64(r.acceptor.Active()) },
