Take a grant that was not sent for no evidence about its upstream

Change: the result Withheld counts neither way; the silence before the first grant that fails counts for as long as grants are apart. UnreachableError says whether the caller itself withheld the call. The simulation's Grantor says so too. TestWithheldGrantIsNoEvidence is new, and also holds that upstreams to which nothing can be sent are still lost.

--- a/connector/control.go
+++ b/connector/control.go
@@ -175,7 +175,7 @@
 	}
 	if err != nil {
 		cn.Close()
-		return reply{}, &pimento.UnreachableError{Target: string(c.Server.Name), Cause: err, Unsent: true}
+		return reply{}, &pimento.UnreachableError{Target: string(c.Server.Name), Cause: err, Unsent: true, Withheld: errors.Is(err, errLate)}
 	}
 	kept := !cn.expires.IsZero()
 	stop := context.AfterFunc(ctx, func() { cn.Close() })
--- a/fault.go
+++ b/fault.go
@@ -127,6 +127,9 @@
 	Target string
 	Cause  error
 	Unsent bool
+	// Withheld means that the caller itself did not send the call, which says nothing
+	// about the target. Unsent is set too.
+	Withheld bool
 }
 
 // Error names the target and the cause.
--- a/keeper/late_test.go
+++ b/keeper/late_test.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -66,3 +67,36 @@
 		}
 	}
 }
+
+// TestWithheldGrantIsNoEvidence guards against an upstream that is taken for lost since
+// this process did not send its grants, and against one that is not, since some of its
+// grants were not sent.
+func TestWithheldGrantIsNoEvidence(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		results []Result // one each Retry, after withheld ones for longer than LostAfter
+		lost    bool
+	}{
+		{"withheld only", []Result{ResultWithheld}, false},
+		{"one cannot be sent", []Result{ResultUnsent}, false},
+		{"none can be sent", []Result{ResultUnsent, ResultUnsent, ResultUnsent, ResultUnsent, ResultUnsent, ResultUnsent}, true},
+		{"some are withheld", []Result{ResultUnsent, ResultWithheld, ResultUnsent, ResultWithheld, ResultUnsent, ResultUnsent}, true},
+		{"it answers", []Result{ResultUnsent, ResultUnsent, ResultUnsent, ResultAccepted}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			sim := newSimulation()
+			sim.adopt(held(all, runA, 1))
+			sim.acceptGrants(is)
+			sim.advance(sim.m.timing.Renew)
+			withheld := slices.Repeat([]Result{ResultWithheld}, int(2*sim.m.timing.LostAfter/sim.m.timing.Retry))
+			for _, result := range append(withheld, c.results...) {
+				calls := sim.step()
+				is.Equal(len(calls), 1)
+				sim.m.HandleGrantResult(sim.now, sim.now, calls[0], result)
+				sim.advance(sim.m.timing.Retry)
+			}
+			is.Equal(len(sim.m.LostRuns()) == 1, c.lost)
+		})
+	}
+}
--- a/keeper/machine.go
+++ b/keeper/machine.go
@@ -107,6 +107,9 @@
 	Service pimento.ServiceName
 	Run     pimento.Run
 	Grant   pimento.KeyGrant // a release uses Range and Fence
+	// ValidUntil is until when the holder certainly has the keys of a grant; zero: it
+	// does not have them yet.
+	ValidUntil time.Time
 }
 
 // Result is the result of a grant.
@@ -117,6 +120,7 @@
 	ResultAccepted Result = "Accepted"
 	ResultFenced   Result = "Fenced"   // refused: the upstream has seen a higher fence
 	ResultUnsent   Result = "Unsent"   // certainly did not arrive
+	ResultWithheld Result = "Withheld" // this process did not send it, whatever the upstream does
 	ResultUnknown  Result = "NoAnswer" // may have arrived
 )
 
@@ -155,9 +159,13 @@
 // reachability says whether a run answers.
 type reachability struct {
 	contactAt time.Time // of the last contact, or of the first use of the run
+	failing   bool      // a grant has failed since
 	lost      bool
 }
 
+// contact records that the run answers.
+func (r *reachability) contact(now time.Time) { *r = reachability{contactAt: now} }
+
 // Machine is the grant state of one leader. It is not safe for concurrent use.
 type Machine struct {
 	timing Timing
@@ -345,7 +353,8 @@
 	r.granting = true
 	return Call{
 		Kind: CallGrant, Service: r.service, Run: h.Holder,
-		Grant: pimento.KeyGrant{Range: h.KeyRange, Fence: h.Fence, Hold: m.timing.Hold, Handover: r.handover},
+		Grant:      pimento.KeyGrant{Range: h.KeyRange, Fence: h.Fence, Hold: m.timing.Hold, Handover: r.handover},
+		ValidUntil: r.validUntil,
 	}, true
 }
 
@@ -378,9 +387,9 @@
 // keys may have moved since: then the run of the call is the former holder of
 // their row.
 func (m *Machine) HandleGrantResult(now, sentAt time.Time, c Call, result Result) {
-	m.updateReachability(now, c.Run, result)
+	m.updateReachability(now, sentAt, c.Run, result)
 	// A fenced grant was refused, so it does not extend the hold.
-	mayHaveArrived := result != ResultUnsent && result != ResultFenced
+	mayHaveArrived := result == ResultAccepted || result == ResultUnknown
 	for _, r := range m.overlapping(c.Service, c.Grant.Range) {
 		if mayHaveArrived && r.holding.Former.Same(c.Run) {
 			r.formerMayHoldUntil = later(r.formerMayHoldUntil, m.timing.expiry(now))
@@ -395,7 +404,9 @@
 func (m *Machine) recordGrantResult(now, sentAt time.Time, r *row, result Result, mayHaveArrived bool) {
 	r.granting = false
 	r.pendingExpiry = time.Time{}
-	r.fenced = result == ResultFenced
+	if result != ResultWithheld {
+		r.fenced = result == ResultFenced
+	}
 	if mayHaveArrived {
 		r.mayHoldUntil = later(r.mayHoldUntil, m.timing.expiry(now))
 	}
@@ -415,27 +426,35 @@
 	return b
 }
 
-// updateReachability updates the reachability of a run by the result of a grant.
-func (m *Machine) updateReachability(now time.Time, run pimento.Run, result Result) {
+// updateReachability updates the reachability of a run by the result of a grant that was
+// sent at sentAt. The time before the first grant that fails counts as silence for as long
+// as grants are apart: in what lies before, nothing was sent.
+func (m *Machine) updateReachability(now, sentAt time.Time, run pimento.Run, result Result) {
+	if result == ResultWithheld {
+		return
+	}
 	reach := m.reachabilityOf(now, run)
-	switch result {
-	case ResultAccepted, ResultFenced:
-		reach.contactAt, reach.lost = now, false
-	case ResultUnknown:
+	if result == ResultAccepted || result == ResultFenced {
+		reach.contact(now)
+		return
+	}
+	if !reach.failing {
+		reach.failing = true
+		reach.contactAt = later(reach.contactAt, sentAt.Add(-m.timing.Renew))
+	}
+	silence := now.Sub(reach.contactAt)
+	if result == ResultUnknown {
 		// Each grant without an answer postpones the time when its keys can move,
 		// so no more are sent to a run that does not answer.
-		if now.Sub(reach.contactAt) > m.timing.Renew {
-			reach.lost = true
-		}
-	default:
-		reach.lost = reach.lost || now.Sub(reach.contactAt) > m.timing.LostAfter
+		reach.lost = reach.lost || silence > m.timing.Renew
+		return
 	}
+	reach.lost = reach.lost || silence > m.timing.LostAfter
 }
 
 // MarkReachable records that a lost run answers again.
 func (m *Machine) MarkReachable(now time.Time, run pimento.Run) {
-	reach := m.reachabilityOf(now, run)
-	reach.contactAt, reach.lost = now, false
+	m.reachabilityOf(now, run).contact(now)
 }
 
 // HandleReleaseResult handles the result of a release. ok means that the former
--- a/leader/cluster_test.go
+++ b/leader/cluster_test.go
@@ -637,7 +637,7 @@
 		return &pimento.UnreachableError{Target: string(to.Name), Cause: ctx.Err(), Unsent: true}
 	}
 	if !time.Now().Before(g.SendBefore) {
-		return &pimento.UnreachableError{Target: string(to.Name), Cause: errNoAnswer, Unsent: true}
+		return &pimento.UnreachableError{Target: string(to.Name), Cause: errNoAnswer, Unsent: true, Withheld: true}
 	}
 	if !p.cluster.deliverCall(ctx, string(p.self.Host), string(to.Name), func() { p.cluster.applyGrant(p.self.ID, to, g, time.Now()) }) {
 		return unreachable
