Send urgent grants beside others, those that lapse first before

Cause: grants to one upstream ran one after the other in the order in which they were queued; each turn also cost the delay of the leader's loop, even for a grant that was then dropped. Change: the grant whose keys lapse first goes first; up to four are under way if what is left of a hold is less than half of it (else one, since connections are counted); a grant that is not wanted or cannot be sent ends at once and takes no turn. The test's driver starts queued calls after each step, as stepLeader does now.

--- a/leader/grants.go
+++ b/leader/grants.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"pimentorelay.example/pimento"
@@ -17,25 +18,51 @@
 	// maxConcurrentReleases bounds the concurrent releases at an upstream, each of
 	// which uses its own connection.
 	maxConcurrentReleases = 6
+	// maxConcurrentGrants bounds the concurrent grants to an upstream, each of which
+	// uses its own connection. More than one are sent only if others would lapse.
+	maxConcurrentGrants = 4
+	// urgentHoldShare is the share of a hold below which what is left of one makes its
+	// renewal urgent.
+	urgentHoldShare = 0.5
 	// probeInterval is the pause after a failed probe of a lost upstream.
 	probeInterval = 350 * time.Millisecond
 )
 
-// queue holds the calls to one upstream, which run as one grant at a time and
-// up to maxConcurrentReleases releases.
+// queue holds the calls to one upstream. Grants are ordered by when the keys lapse.
 type queue struct {
 	grants    []queuedGrant
-	granting  bool
+	granting  int
 	releases  []keeper.Call
 	releasing int
 }
 
-// queuedGrant is a grant that waits for the one before it.
+// queuedGrant is a grant that waits for others.
 type queuedGrant struct {
 	call     keeper.Call
 	queuedAt time.Time
 }
 
+// addGrant queues a grant before those of keys that lapse later.
+func (q *queue) addGrant(g queuedGrant) {
+	i, _ := slices.BinarySearchFunc(q.grants, g, func(x, g queuedGrant) int {
+		if x.call.ValidUntil.After(g.call.ValidUntil) {
+			return 1
+		}
+		return -1
+	})
+	q.grants = slices.Insert(q.grants, i, g)
+}
+
+// mayGrant reports whether the first grant may be sent now: alone, or beside others if
+// the holder would not have its keys for long.
+func (q *queue) mayGrant(now time.Time, hold time.Duration) bool {
+	if len(q.grants) == 0 || q.granting >= maxConcurrentGrants {
+		return false
+	}
+	left := q.grants[0].call.ValidUntil.Sub(now)
+	return q.granting == 0 || left < time.Duration(urgentHoldShare*float64(hold))
+}
+
 // enqueueCall queues a call that the keeper requested.
 func (l *Leader) enqueueCall(c keeper.Call) {
 	q, ok := l.term.queues[c.Run.Upstream]
@@ -44,20 +71,32 @@
 		l.term.queues[c.Run.Upstream] = q
 	}
 	if c.Kind == keeper.CallGrant {
-		q.grants = append(q.grants, queuedGrant{call: c, queuedAt: timekeeper.Now()})
+		q.addGrant(queuedGrant{call: c, queuedAt: timekeeper.Now()})
 	} else {
 		q.releases = append(q.releases, c)
 	}
-	l.startCalls(q)
 }
 
-// startCalls starts the queued calls that may run now.
+// startQueued starts the calls to all upstreams that may run now.
+func (l *Leader) startQueued() {
+	for _, q := range l.term.queues {
+		l.startCalls(q)
+	}
+}
+
+// startCalls starts the calls to one upstream that may run now. A grant that is not to
+// be sent does not hold up the others.
 func (l *Leader) startCalls(q *queue) {
-	if !q.granting && len(q.grants) > 0 {
+	for now := timekeeper.Now(); q.mayGrant(now, l.KeeperTiming.Hold); {
 		next := q.grants[0]
 		q.grants = q.grants[1:]
-		q.granting = true
-		l.sendGrant(q, next)
+		s, cause := l.beginGrant(now, next.call)
+		if cause != nil {
+			l.handleGrantResult(q, sentGrant{queuedGrant: next, sentAt: now, result: keeper.ResultWithheld, cause: cause})
+			continue
+		}
+		q.granting++
+		l.sendGrant(q, next, s)
 	}
 	for q.releasing < maxConcurrentReleases && len(q.releases) > 0 {
 		c := q.releases[0]
@@ -67,37 +106,65 @@
 	}
 }
 
-// sendGrant sends one grant if the keeper still wants it, its run is known and
-// this process has authority.
-func (l *Leader) sendGrant(q *queue, next queuedGrant) {
-	t, c := l.term, next.call
+// beginGrant returns the server that a grant is to be sent to, or why it must not be
+// sent.
+func (l *Leader) beginGrant(now time.Time, c keeper.Call) (pimento.Server, error) {
+	s, known := l.term.serverOf(c.Run)
+	switch {
+	case !known:
+		return s, errRunNotKnown
+	case !l.HasAuthority():
+		return s, errLacksAuthority
+	case !l.keeper.BeginGrant(now, c):
+		return s, errGrantNotWanted
+	}
+	return s, nil
+}
+
+// sentGrant is a grant with its result.
+type sentGrant struct {
+	queuedGrant
+	sentAt    time.Time
+	authority time.Duration // that was left then
+	result    keeper.Result
+	cause     error
+}
+
+// sendGrant sends one grant if this process still has authority.
+func (l *Leader) sendGrant(q *queue, next queuedGrant, s pimento.Server) {
+	t := l.term
 	beganAt := timekeeper.Now()
-	s, known := t.serverOf(c.Run)
-	wanted := l.keeper.BeginGrant(beganAt, c)
 	go func() {
 		sentAt, authorityUntil := timekeeper.Now(), time.Unix(0, l.authorityUntil.Load())
-		result, cause := keeper.ResultUnsent, l.whyNotGranting(known, wanted)
-		if cause == nil {
-			grant := c.Grant
+		sent := sentGrant{queuedGrant: next, sentAt: sentAt, authority: max(0, authorityUntil.Sub(sentAt)), result: keeper.ResultWithheld, cause: errLacksAuthority}
+		if l.HasAuthority() {
+			grant := next.call.Grant
 			grant.SendBefore = earlier(authorityUntil, beganAt.Add(l.KeeperTiming.AnswerTimeout))
 			ctx, cancel := context.WithTimeout(t.ctx, l.KeeperTiming.AnswerTimeout)
-			cause = l.Grantor.Grant(ctx, s, grant)
-			result = grantResult(cause)
+			sent.cause = l.Grantor.Grant(ctx, s, grant)
+			sent.result = grantResult(sent.cause)
 			cancel()
 		}
 		l.postTerm(t, func() {
-			q.granting = false
-			l.keeper.HandleGrantResult(timekeeper.Now(), sentAt, c, result)
-			if result != keeper.ResultAccepted {
-				l.Events.Emit(pimento.EventGrantFailed, "Service", c.Service, "Upstream", c.Run.Upstream, "Keys", c.Grant.Range, "Fence", c.Grant.Fence, "Result", result, "Cause", cause,
-					"Queued", sentAt.Sub(next.queuedAt).Round(time.Millisecond), "Took", timekeeper.Now().Sub(sentAt).Round(time.Millisecond), "Waiting", len(q.grants),
-					"Authority", max(0, authorityUntil.Sub(sentAt)).Round(time.Millisecond))
-			}
+			q.granting--
+			l.handleGrantResult(q, sent)
 			l.startCalls(q)
 		})
 	}()
 }
 
+// handleGrantResult passes the result of a grant to the keeper.
+func (l *Leader) handleGrantResult(q *queue, g sentGrant) {
+	now, c := timekeeper.Now(), g.call
+	l.keeper.HandleGrantResult(now, g.sentAt, c, g.result)
+	if g.result == keeper.ResultAccepted {
+		return
+	}
+	l.Events.Emit(pimento.EventGrantFailed, "Service", c.Service, "Upstream", c.Run.Upstream, "Keys", c.Grant.Range, "Fence", c.Grant.Fence, "Result", g.result, "Cause", g.cause,
+		"Queued", g.sentAt.Sub(g.queuedAt).Round(time.Millisecond), "Took", now.Sub(g.sentAt).Round(time.Millisecond), "Waiting", len(q.grants),
+		"Authority", g.authority.Round(time.Millisecond))
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -114,6 +181,8 @@
 		return keeper.ResultAccepted
 	case errors.As(err, &fenced):
 		return keeper.ResultFenced
+	case errors.As(err, &unreachable) && unreachable.Withheld:
+		return keeper.ResultWithheld
 	case errors.As(err, &unreachable) && unreachable.Unsent:
 		return keeper.ResultUnsent
 	default:
@@ -210,16 +279,3 @@
 	errGrantNotWanted = errors.New("the keys have moved or their range has changed")
 	errLacksAuthority = errors.New("this process has no authority")
 )
-
-// whyNotGranting returns why a grant must not be sent, nil if it may be.
-func (l *Leader) whyNotGranting(known, wanted bool) error {
-	switch {
-	case !known:
-		return errRunNotKnown
-	case !wanted:
-		return errGrantNotWanted
-	case !l.HasAuthority():
-		return errLacksAuthority
-	}
-	return nil
-}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -378,6 +378,7 @@
 	for _, c := range l.keeper.Step(now, in) {
 		l.enqueueCall(c)
 	}
+	l.startQueued()
 	l.probeLostUpstreams()
 	if !t.writing && !l.repairStore(now) && !now.Before(t.planAt) {
 		t.planAt = now.Add(planInterval)
--- a/leader/unsent_test.go
+++ b/leader/unsent_test.go
@@ -74,6 +74,7 @@
 		for _, c := range l.keeper.Step(now, g.input(now)) {
 			l.enqueueCall(c)
 		}
+		l.startQueued()
 		synctest.Wait()
 		for len(l.inbox) > 0 {
 			(<-l.inbox)()
