--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -127,6 +127,10 @@
 			out = append(out, Decision{Ticket: t.ID, Refusal: p.refuse(0, foreignDetail)})
 			return true
 		}
+		if p.config.Keyed && p.ownerIsOverdue(now, t) {
+			out = append(out, Decision{Ticket: t.ID, Refusal: p.refuse(maxOwnerWait, unheldDetail)})
+			return true
+		}
 		if u, _ := p.ownerUpstream(t.Key); p.config.Keyed && u != nil && u.pacer.Limited() {
 			if p.exceedsLimit(now, t, u, ahead[u]+1) {
 				out = append(out, Decision{Ticket: t.ID, Refusal: p.refuseBeyondLimit(now, u, ahead[u]+1)})
@@ -191,6 +195,23 @@
 	return p.refuse(retryAfter, fmt.Sprintf("room is expected only after %s", wait.Round(time.Millisecond)))
 }
 
+// ownerIsOverdue reports whether the owner of a request's key has not been ready for
+// maxOwnerWait longer than was expected, or than the request waits if nothing was.
+func (p *Pool) ownerIsOverdue(now time.Time, t *Ticket) bool {
+	_, o := p.ownerUpstream(t.Key)
+	if o.Ready {
+		return false
+	}
+	expected := o.ReadyAt
+	if expected.IsZero() {
+		expected = t.Arrived
+	}
+	return !now.Before(expected.Add(maxOwnerWait))
+}
+
+// unheldDetail is the detail of the refusal of a request whose key has no ready owner.
+const unheldDetail = "nobody holds the key now"
+
 // isForeign reports whether a key has a ready owner that this pool does not know: it
 // is in another pool, or gone. A request for it would wait here in vain.
 func (p *Pool) isForeign(k pimento.Key) bool {
@@ -265,8 +286,9 @@
 	}
 	u, o := p.ownerUpstream(t.Key)
 	if u == nil || !o.Ready {
-		if wait := o.ReadyAt.Sub(now); wait > maxOwnerWait || o.Upstream == "" && o.ReadyAt.IsZero() {
-			return p.refuse(max(wait, maxOwnerWait), "nobody holds the key now")
+		wait := o.ReadyAt.Sub(now)
+		if wait > maxOwnerWait || o.Upstream == "" && o.ReadyAt.IsZero() || p.ownerIsOverdue(now, t) {
+			return p.refuse(max(wait, maxOwnerWait), unheldDetail)
 		}
 		if u == nil {
 			return nil
