--- a/leader/pace_test.go
+++ b/leader/pace_test.go
@@ -117,3 +117,18 @@
 	is.Equal(d.value(at), 800*time.Millisecond)
 	is.Equal(d.value(at.Add(delayDecay)), 400*time.Millisecond)
 }
+
+// TestSlowLeaderMovesNoKeysForBalance guards against ranges that are split again and
+// again by a leader that is too slow to renew those that it has.
+func TestSlowLeaderMovesNoKeysForBalance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := newPushTest(t).leader
+		l.balancedAt = time.Now().Add(-balanceInterval)
+		is.True(l.mayBalance(time.Now()))
+		l.delay.observe(time.Now(), 2*maxBalanceDelay)
+		is.True(!l.mayBalance(time.Now()))
+		time.Sleep(delayDecay + time.Millisecond)
+		is.True(l.mayBalance(time.Now()))
+	})
+}
--- a/leader/plan.go
+++ b/leader/plan.go
@@ -20,6 +20,9 @@
 	// balanceInterval is the time between plans that may also move keys for
 	// balance.
 	balanceInterval = 500 * time.Millisecond
+	// maxBalanceDelay is the delay of the leader's loop from which on no keys move for
+	// balance.
+	maxBalanceDelay = 200 * time.Millisecond
 	// formerCleanupDelay is how long former holders that hold nothing any more may
 	// stay in the assignment.
 	formerCleanupDelay = 300 * time.Millisecond
@@ -174,7 +177,7 @@
 // for balance.
 func (l *Leader) planTables(now time.Time, in keeper.Input, next *pimento.Assignment) bool {
 	changed := false
-	balance := now.Sub(l.balancedAt) >= balanceInterval
+	balance := l.mayBalance(now)
 	for _, s := range l.manifest().Services {
 		if s.Sharing != pimento.SharingKeyed {
 			continue
@@ -196,6 +199,12 @@
 	return changed
 }
 
+// mayBalance reports whether a plan may move keys whose holder can keep them. Each move
+// can split a range, which makes the leader's work more, so a slow leader waits.
+func (l *Leader) mayBalance(now time.Time) bool {
+	return now.Sub(l.balancedAt) >= balanceInterval && l.Delay() < maxBalanceDelay
+}
+
 // partitionerInput returns the input for the plan of one service.
 func (l *Leader) partitionerInput(now time.Time, in keeper.Input, s pimento.Service, table *pimento.Table, balance bool) partitioner.Input {
 	t := l.term
