--- a/leader/heartbeat.go
+++ b/leader/heartbeat.go
@@ -164,7 +164,7 @@
 
 // HandleHeartbeat replies to a leader's heartbeat.
 func (l *Leader) HandleHeartbeat(from pimento.ProcessID, q *messenger.Heartbeat, reply func(*messenger.Message)) {
-	l.enqueue(context.Background(), func() {
+	l.post(context.Background(), func() {
 		now := timekeeper.Now()
 		l.ObserveEra(q.Era)
 		confirmed := l.elector.HandleHeartbeat(now, elector.Heartbeat{From: from, Term: q.Term, StoreLost: q.StoreLost})
@@ -184,7 +184,7 @@
 
 // HandleVote replies to a candidate's request for a vote.
 func (l *Leader) HandleVote(v *messenger.Vote, reply func(*messenger.Message)) {
-	l.enqueue(context.Background(), func() {
+	l.post(context.Background(), func() {
 		term := l.elector.Term()
 		answer := &messenger.Vote{Epoch: term.Epoch, Granted: l.elector.GrantsVote(timekeeper.Now(), v.Epoch)}
 		if v.Doubtful {
@@ -221,7 +221,7 @@
 
 // HandleJoin adds a process that announces itself, if this process leads.
 func (l *Leader) HandleJoin(p pimento.Process) {
-	l.enqueue(context.Background(), func() {
+	l.post(context.Background(), func() {
 		if l.term == nil || p.ID == l.Self.ID {
 			return
 		}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -247,11 +247,6 @@
 // StoreAnswered records that the store answered another part of the process.
 func (l *Leader) StoreAnswered() { l.recordStoreAnswer() }
 
-// post queues a result for the goroutine of the state machines.
-func (l *Leader) post(ctx context.Context, do func()) {
-	l.enqueue(ctx, do)
-}
-
 // postTerm is post for a result that is dropped once t has ended.
 func (l *Leader) postTerm(t *term, do func()) {
 	l.post(t.ctx, func() {
--- a/leader/pace.go
+++ b/leader/pace.go
@@ -80,9 +80,9 @@
 	}
 }
 
-// enqueue queues a message for the goroutine of the state machines and measures how
-// long it waits. It reports false if ctx ends before.
-func (l *Leader) enqueue(ctx context.Context, do func()) bool {
+// post queues a message for the goroutine of the state machines, unless ctx ends before,
+// and measures how long it waits.
+func (l *Leader) post(ctx context.Context, do func()) {
 	queuedAt := time.Now()
 	timed := func() {
 		now := time.Now()
@@ -94,9 +94,7 @@
 	}
 	select {
 	case l.inbox <- timed:
-		return true
 	case <-ctx.Done():
-		return false
 	}
 }
 
--- a/leader/push.go
+++ b/leader/push.go
@@ -219,7 +219,7 @@
 
 // HandleState applies a state if it comes from the leader of the current term.
 func (l *Leader) HandleState(from pimento.ProcessID, s *messenger.State, reply func(*messenger.Message)) {
-	l.enqueue(context.Background(), func() {
+	l.post(context.Background(), func() {
 		term := l.elector.Term()
 		if s.Versions.Epoch == term.Epoch && term.Leader == from {
 			l.Member.Apply(s)
