--- a/leader/heartbeat.go
+++ b/leader/heartbeat.go
@@ -165,7 +165,7 @@
 
 // HandleHeartbeat replies to a leader's heartbeat.
 func (l *Leader) HandleHeartbeat(from pimento.ProcessID, q *messenger.Heartbeat, reply func(*messenger.Message)) {
-	l.inbox <- func() {
+	l.post(context.Background(), func() {
 		now := timekeeper.Now()
 		l.ObserveEra(q.Era)
 		l.handleConfirmation(q.Confirmation)
@@ -182,19 +182,19 @@
 			answer.Report = l.Member.Report()
 		}
 		reply(&messenger.Message{HeartbeatReply: answer})
-	}
+	})
 }
 
 // HandleVote replies to a candidate's request for a vote.
 func (l *Leader) HandleVote(v *messenger.Vote, reply func(*messenger.Message)) {
-	l.inbox <- func() {
+	l.post(context.Background(), func() {
 		term := l.elector.Term()
 		answer := &messenger.Vote{Epoch: term.Epoch, Granted: l.elector.GrantsVote(timekeeper.Now(), v.Epoch)}
 		if v.Doubtful {
 			answer.Term, answer.Processes, answer.Assignment = &term, l.processesOf(term), l.handOver()
 		}
 		reply(&messenger.Message{Vote: answer})
-	}
+	})
 }
 
 // sendJoin announces this process to the leader of the latest term as long as
@@ -225,14 +225,14 @@
 // HandleJoin adds a process that announces itself, if this process leads. A Join may
 // arrive late, after a later process of its host has registered.
 func (l *Leader) HandleJoin(p pimento.Process) {
-	l.inbox <- func() {
+	l.post(context.Background(), func() {
 		known := l.registered[p.Host]
 		if l.term == nil || p.ID == l.Self.ID || p.Started.Before(known.process.Started) {
 			return
 		}
 		l.registered[p.Host] = registeredProcess{process: p, revision: known.revision}
 		l.updateMembers(timekeeper.Now())
-	}
+	})
 }
 
 // readProcesses reads the registered processes from the store.
--- a/router/operators.go
+++ b/router/operators.go
@@ -42,6 +42,8 @@
 		"relay_manifest_announced": func() float64 { return float64(r.follower.announcedVersion()) },
 		"relay_manifest_read_age":  func() float64 { return ageSeconds(time.Now(), r.follower.ManifestReadAt()) },
 		"relay_manifest_age":       func() float64 { return ageSeconds(timekeeper.Now(), r.follower.confirmer.at()) },
+		"relay_leader_delay":       func() float64 { return r.leader.Delay().Seconds() },
+		"relay_key_ranges":         func() float64 { return float64(r.leader.Ranges()) },
 		"relay_unheld_keys":        func() float64 { return float64(r.follower.unheldKeys()) },
 		"relay_waiting_requests":   func() float64 { return float64(r.admitter.Waiting()) },
 		"relay_barred_upstreams":   func() float64 { return float64(len(r.admitter.Barred())) },
