Serve by the known manifest while the store is silent

What callers saw: nothing yet.

A process forgot after 2.5 s that the store had not answered, and a request that waited half of its time for a read that did not end was refused, although a route matched.

Evidence: TestSilentStoreRefusesNoRoutedRequest: of four requests, 6.5 s apart, three were refused after half a second each.

Change: the store counts as lost until it answers, so requests with a route go on at once. One that has waited for half of its time goes on by what is known, too; what would be refused for good still is not.

--- a/forwarder/currency.go
+++ b/forwarder/currency.go
@@ -20,7 +20,8 @@
 	// StoreLost means that this process does not reach the store, so that it cannot
 	// know better.
 	StoreLost Currentness = "StoreLost"
-	// Undecided means that the time to wait ended first.
+	// Undecided means that the time to wait ended before the store answered or was known
+	// not to.
 	Undecided Currentness = "Undecided"
 )
 
@@ -57,8 +58,8 @@
 }
 
 // decide returns what the configuration in force says about a request, or why it is
-// refused. One that may be too old decides nothing while this process can know better,
-// and never refuses for good.
+// refused. One that may be too old decides nothing while this process may soon know
+// better, and never refuses for good.
 func (f *Forwarder) decide(ctx context.Context, r *pimento.Request, arrived time.Time, trace *Trace) (decision, error) {
 	current := f.Currency == nil || f.Currency.IsCurrent(arrived) // before the view is read, which may become newer
 	d, err := f.match(r, trace)
@@ -69,7 +70,7 @@
 	if d, err = f.match(r, trace); err != nil {
 		return d, err
 	}
-	if state == Current || state == StoreLost && !f.mayRefuse(d, r) {
+	if state == Current || !f.mayRefuse(d, r) {
 		return d, nil
 	}
 	refusal := pimento.NotRun(pimento.ReasonStaleManifest, "the manifest known here may be too old, and the store has not answered")
--- a/router/confirmer.go
+++ b/router/confirmer.go
@@ -25,9 +25,6 @@
 	// minConfirmPause and maxConfirmPause bound the backoff after them.
 	minConfirmPause = 200 * time.Millisecond
 	maxConfirmPause = time.Second
-	// storeLostFor is how long after a failed read the store counts as one that does
-	// not answer: requests repeat the read sooner.
-	storeLostFor = 2500 * time.Millisecond
 	// leaderConfirmInterval is the time between the reads of a leader, whose age at the
 	// members is less than half of the time in which a manifest must be in force.
 	leaderConfirmInterval = 500 * time.Millisecond
@@ -49,8 +46,7 @@
 	mu       sync.Mutex
 	reading  chan struct{} // closed at the end of the read in progress; nil: there is none
 	failures int           // in a row
-	failedAt time.Time
-	nextAt   time.Time // when to read again after failures
+	nextAt   time.Time     // when to read again after failures
 	timeout  time.Duration
 	backoff  timekeeper.Backoff
 	lastRead leader.ManifestRead // by this process
@@ -174,7 +170,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.failures++
-	c.failedAt = timekeeper.Now()
 	return false
 }
 
@@ -219,7 +214,7 @@
 // progress is the state of the reads.
 type progress struct {
 	reading    chan struct{} // closed when the read in progress ends, or when there is none
-	failures   int           // recent ones in a row
+	failures   int           // in a row: the store counts as lost until it answers
 	retryAfter time.Duration // until an answer is expected
 }
 
@@ -228,13 +223,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := timekeeper.Now()
-	p := progress{reading: c.reading, retryAfter: max(0, c.nextAt.Sub(now)) + c.timeout}
+	p := progress{reading: c.reading, failures: c.failures, retryAfter: max(0, c.nextAt.Sub(now)) + c.timeout}
 	if p.reading == nil {
 		p.reading = ended
 	}
-	if now.Sub(c.failedAt) < storeLostFor {
-		p.failures = c.failures
-	}
 	return p
 }
 
--- a/router/confirmer_test.go
+++ b/router/confirmer_test.go
@@ -170,3 +170,23 @@
 	is.True(r.follower.ManifestRead().BeganAt.IsZero())
 	is.True(!r.follower.confirmer.IsCurrent(time.Now()))
 }
+
+// TestSilentStoreRefusesNoRoutedRequest guards against a process with few requests that
+// refuses those that have a route, one after the other, while the store is silent.
+func TestSilentStoreRefusesNoRoutedRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, d, source, _, stop := startStaleFollower(t)
+		defer stop()
+		source.inject(func(ctx context.Context, _ *manifestStore, _ bool) error { return silence(ctx) })
+		for i := range 4 {
+			time.Sleep(6500 * time.Millisecond)
+			began := time.Now()
+			if got := sendThrough(t, r, d, "/kept"); got.reason != pimento.ReasonOverloaded { // by the dispatcher
+				t.Errorf("request %d: got %+v, want %s", i+1, got, pimento.ReasonOverloaded)
+			}
+			if took := time.Since(began); i > 1 && took > minConfirmPause {
+				t.Errorf("request %d waited for %s, though the store is known to be silent", i+1, took)
+			}
+		}
+	})
+}
