Blame no upstream for a request that was not sent, and probe none that is paused

What callers saw: nothing yet; found by the review of the merged code.

Cause: a request whose body broke off before anything was written counted as one whose connection broke, and one whose deadline passed before it was sent as one that timed out. The probe for evidence of a crash did not ask whether the upstream wants nothing.

Evidence: TestBodyThatBreaksOffIsNotSent, TestRequestThatWasNotSentBlamesNobody and TestPausedRunIsNotProbed failed before.

Change: the first is a body that was cut, not run; the second counts as canceled; a paused run is not probed.

Result: the tests pass, and packages connector and admitter.

--- a/admitter/acquire.go
+++ b/admitter/acquire.go
@@ -264,6 +264,9 @@
 	case pimento.ReasonRefused:
 		return scheduler.ResultRefused
 	case pimento.ReasonTimeout:
+		if isNotRun(err) {
+			return scheduler.ResultCanceled
+		}
 		return scheduler.ResultTimeout
 	case pimento.ReasonCallerGone, pimento.ReasonStopping, pimento.ReasonBodyCut, pimento.ReasonAvoided:
 		return scheduler.ResultCanceled
--- a/admitter/crash_test.go
+++ b/admitter/crash_test.go
@@ -332,3 +332,11 @@
 	defer a.mu.Unlock()
 	is.Equal(a.quarantine.Crashes(7), 1)
 }
+
+// TestRequestThatWasNotSentBlamesNobody guards against an upstream that counts as slow
+// because requests to it ended before they were sent.
+func TestRequestThatWasNotSentBlamesNobody(t *testing.T) {
+	is := is.New(t)
+	is.Equal(resultKind(pimento.Answer{}, pimento.NotRun(pimento.ReasonTimeout, "")), scheduler.ResultCanceled)
+	is.Equal(resultKind(pimento.Answer{}, pimento.Unknown(pimento.ReasonTimeout, "")), scheduler.ResultTimeout)
+}
--- a/admitter/probe.go
+++ b/admitter/probe.go
@@ -56,13 +56,13 @@
 	}
 }
 
-// probeRun asks whether an upstream answers. Only an answer and a refused connection
-// are evidence.
+// probeRun asks whether an upstream answers, unless it wants nothing from this process now.
+// Only an answer and a refused connection are evidence.
 func (a *Admitter) probeRun(s pimento.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	client := a.client(s)
-	if client.HealthPath == "" {
+	if client.HealthPath == "" || a.checkProbe(s) != nil {
 		return
 	}
 	sentAt := time.Now()
--- a/admitter/probe_test.go
+++ b/admitter/probe_test.go
@@ -13,6 +13,7 @@
 	"pimentorelay.example/pimento"
 	"pimentorelay.example/pimento/quarantiner"
 	"pimentorelay.example/pimento/scheduler"
+	"pimentorelay.example/pimento/timekeeper"
 	"pimentorelay.example/pimento/translator"
 )
 
@@ -58,3 +59,19 @@
 	is.Equal(a.quarantine.Crashes(7), 1)
 	is.Equal(a.quarantine.OpenRuns(), []quarantiner.Run{{Upstream: "silent", Started: 1000}})
 }
+
+// TestPausedRunIsNotProbed guards against probes of an upstream that wants nothing from
+// this process now.
+func TestPausedRunIsNotProbed(t *testing.T) {
+	is := is.New(t)
+	probed := make(chan struct{}, 16)
+	up := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { probed <- struct{}{} }))
+	defer up.Close()
+	a := newNetwork(t).nodes["a"]
+	a.Wire = translator.Wire{}
+	s := pimento.Server{Name: "up", Service: "s", Started: time.Unix(1, 0), Address: addressOf(up.Listener)}
+	a.Update(&Snapshot{Sequence: 1, Services: []pimento.Service{{Name: "s", HealthPath: "/health"}}, Upstreams: []scheduler.Upstream{{Usable: true, Server: s}}})
+	a.observeNotice(s, timekeeper.Now(), pimento.AnswerMetadata{Pause: pimento.PauseNotice{Named: true, For: time.Minute}})
+	a.probeRun(s)
+	is.Equal(len(probed), 0)
+}
--- a/connector/client.go
+++ b/connector/client.go
@@ -312,7 +312,7 @@
 func (e *exchange) roundTrip(ctx context.Context, body io.Reader) (pimento.Answer, pimento.AnswerMetadata, error) {
 	body, err := e.readShortBody(body)
 	if err != nil {
-		return pimento.Answer{}, pimento.AnswerMetadata{}, pimento.Unknown(pimento.ReasonUpstreamLost, err.Error())
+		return pimento.Answer{}, pimento.AnswerMetadata{}, pimento.NotRun(pimento.ReasonBodyCut, err.Error())
 	}
 	if err := e.client.checkSend(ctx); err != nil {
 		return pimento.Answer{}, pimento.AnswerMetadata{}, err
--- a/connector/notice_test.go
+++ b/connector/notice_test.go
@@ -163,3 +163,17 @@
 	is.True(errors.As(err, &out))
 	is.Equal(out.Outcome, pimento.OutcomeUnknown)
 }
+
+// TestBodyThatBreaksOffIsNotSent guards against an upstream that is blamed for a request
+// whose caller broke off its body before any of it was written.
+func TestBodyThatBreaksOffIsNotSent(t *testing.T) {
+	is := is.New(t)
+	s := newFakeServer(t, func(p *peer) { p.readRequest(true) })
+	r := newRequest("1", "POST", "twelve bytes")
+	_, _, err := s.client().Send(t.Context(), r, strings.NewReader("six"))
+	is.Equal(outcomeOf(err), pimento.OutcomeNotRun)
+	var outcome *pimento.OutcomeError
+	is.True(errors.As(err, &outcome))
+	is.Equal(outcome.Reason, pimento.ReasonBodyCut)
+	is.Equal(len(s.received()), 0)
+}
