Date an answer of the store by the beginning of its call

What callers saw: nothing yet.

The end of a watch counted as an answer of that moment, so the store counted as reachable until 3 s after it had begun to turn calls away.

Change: an answer counts for the moment at which its call began, for the watches of manifests and of failure domains.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -250,11 +250,19 @@
 // heartbeats arrive and say that it reaches the store.
 func (l *Leader) FollowsStore() bool { return l.leaderHasStore.Load() }
 
-// recordStoreAnswer records the time of an answer from the store.
-func (l *Leader) recordStoreAnswer() { l.storeAnsweredAt.Store(timekeeper.Now().UnixNano()) }
-
-// StoreAnswered records that the store answered another part of the process.
-func (l *Leader) StoreAnswered() { l.recordStoreAnswer() }
+// recordStoreAnswer records that the store has just answered a short call.
+func (l *Leader) recordStoreAnswer() { l.StoreAnswered(timekeeper.Now()) }
+
+// StoreAnswered records that the store answered a call that began at a time. The end of a
+// watch says nothing of the time since it began: the store may have turned all others away.
+func (l *Leader) StoreAnswered(beganAt time.Time) {
+	at := beganAt.UnixNano()
+	for known := l.storeAnsweredAt.Load(); at > known; known = l.storeAnsweredAt.Load() {
+		if l.storeAnsweredAt.CompareAndSwap(known, at) {
+			return
+		}
+	}
+}
 
 // postTerm is post for a result that is dropped once t has ended.
 func (l *Leader) postTerm(t *term, do func()) {
--- a/leader/registry.go
+++ b/leader/registry.go
@@ -292,6 +292,7 @@
 	var after pimento.Revision
 	backoff := timekeeper.Backoff{Initial: minListBackoff, Max: maxOutBackoff}
 	for t.ctx.Err() == nil {
+		beganAt := timekeeper.Now()
 		out, changed, revision, err := l.Source.DomainsOut(t.ctx, after, outWatchTimeout)
 		if err != nil {
 			after = pimento.Revision{}
@@ -300,7 +301,7 @@
 		}
 		backoff.Reset()
 		after = revision
-		l.recordStoreAnswer()
+		l.StoreAnswered(beganAt)
 		if changed {
 			l.postTerm(t, func() { t.upstreams.setOut(timekeeper.Now(), l.storeEra.Load(), out, l.coldFor) })
 		}
--- a/router/follower.go
+++ b/router/follower.go
@@ -302,8 +302,8 @@
 	if err != nil {
 		return err
 	}
-	f.router.leader.StoreAnswered()
 	now := timekeeper.Now()
+	f.router.leader.StoreAnswered(now)
 	list := &messenger.UpstreamList{Out: out}
 	for _, s := range servers {
 		u := messenger.Upstream{Server: s, ColdFor: max(0, s.WarmAt.Sub(now))}
--- a/router/manifest.go
+++ b/router/manifest.go
@@ -133,7 +133,7 @@
 	if err != nil {
 		return pimento.Revision{}, err
 	}
-	f.router.leader.StoreAnswered()
+	f.router.leader.StoreAnswered(beganAt)
 	if value != nil && !f.isInForce(value) {
 		f.adoptManifest(value, manifestOrigin{From: originStore, Revision: revision})
 	}
--- a/router/serve.go
+++ b/router/serve.go
@@ -10,6 +10,7 @@
 
 	"pimentorelay.example/pimento"
 	"pimentorelay.example/pimento/leader"
+	"pimentorelay.example/pimento/timekeeper"
 )
 
 const (
@@ -40,7 +41,7 @@
 	e := pimento.Entry{Kind: leader.KindProcesses, Name: string(r.self.Host), Value: value}
 	for ctx.Err() == nil {
 		if r.tryRegister(ctx, e, false) {
-			r.leader.StoreAnswered()
+			r.leader.StoreAnswered(timekeeper.Now())
 			r.events.Emit(pimento.EventRegistered, "Process", r.self.ID)
 			if r.OnRegistered != nil {
 				r.OnRegistered(r.self)
