Start no goroutine of the simulation while it waits for the last ones

Cause: a call that was under way when a simulation ended could start a goroutine, for a grant that arrives late, while the test already waited for all of them.

Evidence: the report of the race detector: WaitGroup.Go in Grant against Wait.

Change: goroutines are started under the lock, and none once the simulation ends.

--- a/leader/cluster_test.go
+++ b/leader/cluster_test.go
@@ -54,6 +54,7 @@
 	fences         map[pimento.Key]map[pimento.UpstreamName]uint64
 	violations     []string // of exclusive ownership and the order of fences
 	goroutines     sync.WaitGroup
+	ending         bool // no goroutine is started any more
 	ctx            context.Context
 	startCount     int
 }
@@ -121,6 +122,23 @@
 	return cl
 }
 
+// spawn runs a function in a goroutine, unless the cluster is ending.
+func (cl *cluster) spawn(f func()) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	if !cl.ending {
+		cl.goroutines.Go(f)
+	}
+}
+
+// awaitGoroutines waits for the goroutines of the cluster and lets no other one begin.
+func (cl *cluster) awaitGoroutines() {
+	cl.mu.Lock()
+	cl.ending = true
+	cl.mu.Unlock()
+	cl.goroutines.Wait()
+}
+
 // startProcess starts a process on a host that has none.
 func (cl *cluster) startProcess(host pimento.HostName) {
 	cl.mu.Lock()
@@ -141,8 +159,8 @@
 	p.leader.Init()
 	ctx, cancel := context.WithCancel(cl.ctx)
 	p.cancel = cancel
-	cl.goroutines.Go(func() { p.leader.Run(ctx) })
-	cl.goroutines.Go(func() { p.register(ctx) })
+	cl.spawn(func() { p.leader.Run(ctx) })
+	cl.spawn(func() { p.register(ctx) })
 }
 
 // killProcess ends the processes of a host.
@@ -329,7 +347,7 @@
 func (p *process) storeWrite(ctx context.Context, operation func() error) error {
 	switch {
 	case p.cluster.happens(&p.cluster.lateWriteRate):
-		p.cluster.goroutines.Go(func() {
+		p.cluster.spawn(func() {
 			sleep(p.cluster.ctx, p.cluster.randomDuration(time.Second, 6*time.Second))
 			operation() // takes effect if its condition still holds
 		})
@@ -664,7 +682,7 @@
 	arrivedAt := time.Now()
 	if p.cluster.happens(&p.cluster.lateGrantRate) {
 		run := p.cluster.runOf(to.Name)
-		p.cluster.goroutines.Go(func() {
+		p.cluster.spawn(func() {
 			sleep(p.cluster.ctx, p.cluster.randomDuration(2*time.Second, 12*time.Second))
 			if p.cluster.runOf(to.Name).Same(run) { // what a run has received ends with it
 				p.cluster.applyGrant(p.self.ID, to, g, arrivedAt)
--- a/leader/delivery_test.go
+++ b/leader/delivery_test.go
@@ -35,7 +35,7 @@
 	holdsUp := cl.holdsUpCalls && !delivered && kept
 	cl.mu.Unlock()
 	if holdsUp {
-		cl.goroutines.Go(func() { cl.retransmit(link, sentAt, arrive) })
+		cl.spawn(func() { cl.retransmit(link, sentAt, arrive) })
 	}
 	return delivered
 }
--- a/leader/simulation_test.go
+++ b/leader/simulation_test.go
@@ -53,7 +53,7 @@
 		cl := newCluster(ctx, seed, noLoad, registerWithin)
 		defer func() {
 			cancel()
-			cl.goroutines.Wait()
+			cl.awaitGoroutines()
 			synctest.Wait()
 		}()
 		time.Sleep(startupTime)
@@ -86,7 +86,7 @@
 
 // runAfter runs a task after a delay, unless the test has ended.
 func (cl *cluster) runAfter(d time.Duration, task func()) {
-	cl.goroutines.Go(func() {
+	cl.spawn(func() {
 		sleep(cl.ctx, d)
 		if cl.ctx.Err() == nil {
 			task()
