--- a/leader/spread.go
+++ b/leader/spread.go
@@ -28,8 +28,9 @@
 	reportedLate bool
 }
 
-// reportSpread reports once that all members that answer have the manifest, if a read
-// of the store in this term has shown no newer one, and once which ones still lack it after manifestLateAfter.
+// reportSpread reports once that all members that answer have the manifest, if a read of
+// the store in this term has shown no newer one, and once which ones still lack it after
+// manifestLateAfter.
 func (l *Leader) reportSpread(now time.Time) {
 	s := &l.term.spread
 	if v := l.term.versions.Manifest; v != s.version {
