Log the number of ranges with each move of keys

Cause: 4009 names the moves, not what the table has become. Change: 4009 has Ranges, of all services, after the write.

--- a/assignment.go
+++ b/assignment.go
@@ -166,6 +166,15 @@
 	return &a.Tables[i]
 }
 
+// Ranges returns the number of holdings in all tables.
+func (a *Assignment) Ranges() int {
+	n := 0
+	for _, t := range a.Tables {
+		n += len(t.Holdings)
+	}
+	return n
+}
+
 // PoolsOf returns the pools of a service in their order.
 func (a *Assignment) PoolsOf(service ServiceName) []Pool {
 	var out []Pool
--- a/leader/plan.go
+++ b/leader/plan.go
@@ -102,7 +102,7 @@
 	}
 	more := max(0, len(moves)-maxLoggedMoves)
 	logged := strings.Join(moves[:len(moves)-more], "; ")
-	l.Events.Emit(pimento.EventKeysMoved, "Epoch", l.elector.Term().Epoch, "Revision", revision, "Moves", logged, "More", more)
+	l.Events.Emit(pimento.EventKeysMoved, "Epoch", l.elector.Term().Epoch, "Revision", revision, "Moves", logged, "More", more, "Ranges", l.assignment.Ranges())
 }
 
 // maxLoggedMoves bounds the moves in one log line.
