--- a/leader/cluster_test.go
+++ b/leader/cluster_test.go
@@ -46,11 +46,12 @@
 	lateWriteRate  float64                               // share of the writes that take effect late, without an answer
 	lateGrantRate  float64                               // share of the grants that take effect late, without an answer
 	cutLinks       map[[2]string]bool
-	healedAt       map[[2]string]time.Time // when a link was last healed
-	holdsUpCalls   bool                    // calls given up over a cut link arrive when it heals
-	closedConns    map[[2]string]bool      // no kept connection: the next call dials
-	stallRate      float64                 // share of the grants before which the process stalls
-	sendsLate      bool                    // a grant is sent after a stall although its deadline has passed
+	healedAt       map[[2]string]time.Time            // when a link was last healed
+	holdsUpCalls   bool                               // calls given up over a cut link arrive when it heals
+	closedConns    map[[2]string]bool                 // no kept connection: the next call dials
+	stallRate      float64                            // share of the grants before which the process stalls
+	messageCosts   map[pimento.HostName]time.Duration // that the leader's loop of a slow host takes for each message
+	sendsLate      bool                               // a grant is sent after a stall although its deadline has passed
 	fences         map[pimento.Key]map[pimento.UpstreamName]uint64
 	violations     []string // of exclusive ownership and the order of fences
 	goroutines     sync.WaitGroup
@@ -98,7 +99,8 @@
 		revision: pimento.Revision{Era: 1},
 		store:    make(map[string]pimento.Entry), cutLinks: make(map[[2]string]bool),
 		healedAt: make(map[[2]string]time.Time), closedConns: make(map[[2]string]bool),
-		fences: make(map[pimento.Key]map[pimento.UpstreamName]uint64),
+		messageCosts: make(map[pimento.HostName]time.Duration),
+		fences:       make(map[pimento.Key]map[pimento.UpstreamName]uint64),
 	}
 	for i := range simUpstreams {
 		name := pimento.UpstreamName(fmt.Sprintf("u%d", i))
@@ -155,6 +157,7 @@
 	p.leader = &Leader{
 		Self: p.self, Store: p, Source: p, Peers: p, Member: simMember{p}, Grantor: p, Events: &recorder.Recorder{Process: p.self.ID},
 		ElectorTiming: elector.DefaultTiming(), KeeperTiming: keeper.DefaultTiming(10 * time.Second),
+		OnDelay: func(time.Duration) { cl.spendOnMessage(host) },
 	}
 	p.leader.Init()
 	ctx, cancel := context.WithCancel(cl.ctx)
@@ -206,6 +209,23 @@
 	cl.cutLinks[[2]string{from, to}] = true
 }
 
+// slowDown lets the leader's loop of a host take some time for each message.
+func (cl *cluster) slowDown(host pimento.HostName, cost time.Duration) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.messageCosts[host] = cost
+}
+
+// spendOnMessage takes the time that a message costs a host.
+func (cl *cluster) spendOnMessage(host pimento.HostName) {
+	cl.mu.Lock()
+	cost := cl.messageCosts[host]
+	cl.mu.Unlock()
+	if cost > 0 {
+		sleep(cl.ctx, cost)
+	}
+}
+
 func (cl *cluster) setStrongHosts(hosts []pimento.HostName) {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
