--- a/leader/cluster_test.go
+++ b/leader/cluster_test.go
@@ -49,6 +49,8 @@
 	healedAt       map[[2]string]time.Time            // when a link was last healed
 	holdsUpCalls   bool                               // calls given up over a cut link arrive when it heals
 	closedConns    map[[2]string]bool                 // no kept connection: the next call dials
+	stateTime      time.Duration                      // that a whole state occupies the link of its sender
+	linkFreeAt     map[pimento.HostName]time.Time     // when the states that a host has sent have left it
 	stallRate      float64                            // share of the grants before which the process stalls
 	messageCosts   map[pimento.HostName]time.Duration // that the leader's loop of a slow host takes for each message
 	sendsLate      bool                               // a grant is sent after a stall although its deadline has passed
@@ -99,8 +101,8 @@
 		revision: pimento.Revision{Era: 1},
 		store:    make(map[string]pimento.Entry), cutLinks: make(map[[2]string]bool),
 		healedAt: make(map[[2]string]time.Time), closedConns: make(map[[2]string]bool),
-		messageCosts: make(map[pimento.HostName]time.Duration),
-		fences:       make(map[pimento.Key]map[pimento.UpstreamName]uint64),
+		messageCosts: make(map[pimento.HostName]time.Duration), linkFreeAt: make(map[pimento.HostName]time.Time),
+		fences: make(map[pimento.Key]map[pimento.UpstreamName]uint64),
 	}
 	for i := range simUpstreams {
 		name := pimento.UpstreamName(fmt.Sprintf("u%d", i))
@@ -216,6 +218,30 @@
 	cl.messageCosts[host] = cost
 }
 
+// limitLinks lets each whole state occupy the link of its sender for some time.
+func (cl *cluster) limitLinks(stateTime time.Duration) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.stateTime = stateTime
+}
+
+// transmissionTime returns how long a message waits for its sender's link and occupies it,
+// whether or not its sender goes on waiting.
+func (cl *cluster) transmissionTime(from pimento.HostName, m *messenger.Message) time.Duration {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	now := time.Now()
+	free := cl.linkFreeAt[from]
+	if free.Before(now) {
+		free = now
+	}
+	if s := m.State; s != nil && (s.Owners != nil && s.Owners.Whole || s.Upstreams != nil && s.Upstreams.Whole) {
+		free = free.Add(cl.stateTime)
+	}
+	cl.linkFreeAt[from] = free
+	return free.Sub(now)
+}
+
 // spendOnMessage takes the time that a message costs a host.
 func (cl *cluster) spendOnMessage(host pimento.HostName) {
 	cl.mu.Lock()
@@ -497,6 +523,9 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	unreachable := &pimento.UnreachableError{Target: string(to.ID), Cause: errNoAnswer}
+	if d := p.cluster.transmissionTime(p.self.Host, m); d > 0 {
+		sleep(ctx, d)
+	}
 	if !p.cluster.deliver(ctx, string(p.self.Host), string(to.Host)) {
 		return nil, unreachable
 	}
