Share no memory between a test and the store that it changes

Cause: TestLargeManifestsInQuickSuccession wrote the times of its changes in another goroutine than it read them in: a failure with the race detector. Change: they are computed from the start.

--- a/router/large_manifest_test.go
+++ b/router/large_manifest_test.go
@@ -70,10 +70,10 @@
 				defer stop()
 				time.Sleep(3 * time.Second)
 				const changes = 30
-				var storedAt [changes + 2]time.Time
+				start := time.Now()
+				storedAt := func(v uint64) time.Time { return start.Add(time.Duration(v-2) * c.interval) }
 				tasks.Go(func() {
 					for v := uint64(2); v < changes+2; v++ {
-						storedAt[v] = time.Now()
 						source.put(v)
 						announce := time.AfterFunc(50*time.Millisecond+c.decoding, func() { l.version.Store(v) })
 						defer announce.Stop()
@@ -85,8 +85,8 @@
 					if c.busy {
 						r.follower.confirmer.IsCurrent(time.Now())
 					}
-					if next := r.follower.Versions().Manifest + 1; next < changes+2 && !storedAt[next].IsZero() {
-						longest = max(longest, time.Since(storedAt[next]))
+					if next := r.follower.Versions().Manifest + 1; next < changes+2 {
+						longest = max(longest, time.Since(storedAt(next)))
 					}
 				}
 				t.Logf("a version was missing for %s at most", longest)
