Wait in tests until a request has met the faults that they inject

Cause: both injected faults into the upstream that had run the most requests since the start and took for granted that it gets more. It may have lost its keys, or have become costlier than others, before its next request.

Change: the busiest one is that with the most requests from now on, and the faults go to the then busiest one until a request has met them. The periods that are checked begin with that request, as before; all bounds and cases stay, and no run ends without a check.

--- a/assembler/limit_test.go
+++ b/assembler/limit_test.go
@@ -80,12 +80,17 @@
 			}
 			s := startLimitedStream(d, c.callers(), victims)
 			time.Sleep(300 * time.Millisecond)
-			limited := []*upstreamfaker.Server{busiest(t, d, "guidebook"), busiest(t, d, "partsdesk")}
+			faults := upstreamfaker.Faults{Limit: c.limit}
+			var limited []*upstreamfaker.Server
 			if c.everywhere {
 				limited = slices.Collect(maps.Values(d.Upstreams))
-			}
-			for _, u := range limited {
-				u.Inject(upstreamfaker.Faults{Limit: c.limit})
+				for _, u := range limited {
+					u.Inject(faults)
+				}
+			} else {
+				for _, service := range []string{"guidebook", "partsdesk"} {
+					limited = append(limited, injectIntoBusiest(t, d, service, faults, (*upstreamfaker.Server).NamesLimit))
+				}
 			}
 			time.Sleep(limitPeriod / 2)
 			killProcesses(d, victims)
@@ -128,18 +133,23 @@
 	return s
 }
 
-// busiest returns the upstream of a service that has run the most requests: few requests
-// need not reach all of them.
+// busiest returns the upstream of a service that gets the most requests now: few requests
+// need not reach all of them, and which ones they reach changes.
 func busiest(t *testing.T, d *assembler.Deployment, service string) *upstreamfaker.Server {
 	t.Helper()
+	before := make(map[pimento.UpstreamName]int)
+	for name, u := range d.Upstreams {
+		before[name] = u.Report().Runs
+	}
 	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		var best *upstreamfaker.Server
+		most := 0
 		for name, u := range d.Upstreams {
-			if strings.HasPrefix(string(name), service) && (best == nil || u.Report().Runs > best.Report().Runs) {
-				best = u
+			if runs := u.Report().Runs - before[name]; strings.HasPrefix(string(name), service) && runs > most {
+				best, most = u, runs
 			}
 		}
-		if best.Report().Runs >= minRuns {
+		if most >= minRuns {
 			return best
 		}
 	}
@@ -147,6 +157,32 @@
 	return nil
 }
 
+// injectIntoBusiest injects faults into the busiest upstream of a service and waits until
+// a request has met them. If none does soon, since its keys have moved or others have
+// become faster, it tries the busiest one then.
+func injectIntoBusiest(t *testing.T, d *assembler.Deployment, service string, faults upstreamfaker.Faults, met func(*upstreamfaker.Server) bool) *upstreamfaker.Server {
+	t.Helper()
+	for end := time.Now().Add(readyTimeout); time.Now().Before(end); {
+		u := busiest(t, d, service)
+		u.Inject(faults)
+		for giveUpAt := time.Now().Add(meetTimeout); time.Now().Before(giveUpAt); time.Sleep(time.Millisecond) {
+			if met(u) {
+				return u
+			}
+		}
+		u.Inject(upstreamfaker.Faults{})
+		if met(u) { // while they were taken back
+			u.Inject(faults)
+			return u
+		}
+	}
+	t.Fatalf("no upstream of %s meets a request", service)
+	return nil
+}
+
+// meetTimeout is how long injectIntoBusiest waits for a request at one upstream.
+const meetTimeout = time.Second
+
 // minRuns is the number of requests that tell a busy upstream from the others.
 const minRuns = 10
 
--- a/assembler/notices_test.go
+++ b/assembler/notices_test.go
@@ -252,11 +252,11 @@
 				d := startWarmDeployment(t)
 				v := &visitor{d: d, path: s.path, keyed: s.keyed}
 				v.start()
-				u := busiest(t, d, s.name)
-				u.Inject(upstreamfaker.Faults{TurnAway: turned, RetryAfter: "3"})
+				u := injectIntoBusiest(t, d, s.name, upstreamfaker.Faults{TurnAway: turned, RetryAfter: "3"}, func(u *upstreamfaker.Server) bool {
+					return len(u.TurnedAway()) > 0
+				})
 				time.Sleep(pause + time.Second)
 				v.stop()
-				is.True(len(u.TurnedAway()) > 0)
 				for _, refusal := range u.TurnedAway() {
 					more := 0
 					for entry := range limitEntries {
