Take a refusal without an ID for that of its request only on a fresh connection

What callers saw: not seen in a record; found by the reviewer. A request that runs is told not to have run, and may be sent again.

Cause: a refusal without an ID counted as that of the request, also on a connection that had carried health probes and grants, which have no ID. A second refusal of such a call that comes late stands where the next answer is due.

Change: without an ID, a refusal counts on a connection on which nothing was answered before; control calls mark theirs as used.

--- a/connector/client.go
+++ b/connector/client.go
@@ -325,7 +325,7 @@
 	if err != nil {
 		return pimento.Answer{}, pimento.AnswerMetadata{}, pimento.Unknown(pimento.ReasonUpstreamLost, err.Error())
 	}
-	if metadata.NotRun && (metadata.ID == "" || metadata.ID == e.request.ID) {
+	if metadata.NotRun && e.isRefusal(metadata) {
 		e.discardBody(res)
 		reason := pimento.ReasonRefused
 		if metadata.Misdirected {
@@ -342,6 +342,12 @@
 	return pimento.Answer{Head: head, Body: &answerBody{ReadCloser: res.Body, exchange: e}}, metadata, nil
 }
 
+// isRefusal reports whether a refusal is certainly of this request. One without an ID may
+// be a second one of an earlier call on the connection.
+func (e *exchange) isRefusal(m pimento.AnswerMetadata) bool {
+	return m.ID == e.request.ID || m.ID == "" && !e.conn.used
+}
+
 // writeRequest sends the head and a short body. A longer body, or one of unknown
 // length, is sent in the background.
 func (e *exchange) writeRequest(body io.Reader) error {
--- a/connector/control.go
+++ b/connector/control.go
@@ -217,6 +217,7 @@
 	if err != nil {
 		return reply{}, false, err
 	}
+	cn.used = true
 	c.observeAnswer(writtenAt, c.Wire.ReadAnswer(res.StatusCode, res.Header.Clone()))
 	complete, err := discard(res.Body)
 	if err != nil {
