Be ready while the known upstreams are served, whichever leader has read them

All processes report that they are not ready, though they serve, from the change of the leader until the new one has read the upstreams; while the store is down it cannot.

Cause: readiness asked for the version of the upstreams, which a state of a new term resets, and not for the upstreams.

Evidence: TestReadyUnderANewLeader failed: 503, want 200.

Change: a process is ready once it knows upstreams.

--- a/router/serve.go
+++ b/router/serve.go
@@ -99,7 +99,7 @@
 func (f *follower) knowsUpstreams() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.versions.Upstreams > 0 || f.readFromStore
+	return f.upstreams != nil
 }
 
 // serveReady answers the load balancer's readiness checks until ctx ends.
