leader: test confirmers that the store does not show yet

What callers saw: two upstreams held the same keys, and one got a key with a fence below that of another (in the simulation).

Cause: Leader.ended takes a process for ended if another one is registered under its host, also if that is the earlier one: a process that restarts can join a leader, and become a confirmer, before its own registration is stored. A candidate then excludes it from the electors and counts it as lost for the prior sets, so that it is elected by a minority and does not wait for the authority of the leader before it to lapse.

--- a/leader/cluster_test.go
+++ b/leader/cluster_test.go
@@ -50,6 +50,7 @@
 	holdsUpCalls   bool                    // calls given up over a cut link arrive when it heals
 	closedConns    map[[2]string]bool      // no kept connection: the next call dials
 	stallRate      float64                 // share of the grants before which the process stalls
+	refusesEntries bool                    // the store rejects the registration of processes
 	sendsLate      bool                    // a grant is sent after a stall although its deadline has passed
 	fences         map[pimento.Key]map[pimento.UpstreamName]uint64
 	violations     []string // of exclusive ownership and the order of fences
@@ -181,6 +182,10 @@
 		panic(err)
 	}
 	for ctx.Err() == nil {
+		if p.cluster.isSet(&p.cluster.refusesEntries) {
+			sleep(ctx, 200*time.Millisecond)
+			continue
+		}
 		e := pimento.Entry{Kind: KindProcesses, Name: string(p.self.Host), Value: value}
 		_, err := p.Create(ctx, e)
 		var exists *pimento.ExistsError
@@ -254,6 +259,13 @@
 	return cl.rng.Float64() < *p
 }
 
+// isSet reports whether *p is set, which mu guards.
+func (cl *cluster) isSet(p *bool) bool {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	return *p
+}
+
 func (cl *cluster) randomDuration(a, b time.Duration) time.Duration {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
