Know a request by its body also if that awaits a 100 Continue

A request that crashes upstreams counted anew when it came with Expect: 100-continue (BUDGET), and all orders of one length to one path with that header counted as one request.

Cause: such a body is not read before the request has a permit, so the fingerprint was made of the declared length.

Change: the request has no fingerprint until its body is first read. That read takes the beginning of the body, as of any other request, and sets the fingerprint. The sender waits for it before it checks the quarantine and sends, and counts by it. If three crashes count already, the permit goes back unused and the dispatcher decides again, so that its one copy at a time holds here too. A body of which nothing has come by the request's deadline ends the request as CallerSlow, as of any other; the read had no deadline (measured: no answer 0.5 s after a deadline of 0.3 s).

No two requests that differ share a fingerprint more often: the length stood in for the body and no longer does. What is lost: the dispatcher does not know which request it gave the permit to, so the crash is not counted if the sender ends before it is confirmed.

The test changes: it compared fingerprints when the handling begins, when there can be none without a 100 Continue that TestExpectContinue forbids. It now compares them once the first byte of the body was read, which comes before anything is sent, checks that the plain copy has its own from the beginning, that it does not change, and that the other has none before. TestRequestIsKnownOnceItsBodyComes checks what is sent and counted.

--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -104,7 +104,7 @@
 		return false
 	}
 	x := c.newExchange(req, arrived, limits)
-	if x.body != nil && x.err == nil {
+	if x.body != nil && x.body.sendContinue == nil && x.err == nil {
 		x.err = x.readPrefix()
 	}
 	if x.body != nil && x.err == nil {
--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -36,12 +36,8 @@
 
 // readPrefix reads all of a short body, or the start of a longer one, before the
 // request runs. A waiting request with a short body then delays neither the next
-// request nor the detection of its caller's disconnect. A body that awaits a 100
-// Continue is not read.
+// request nor the detection of its caller's disconnect.
 func (x *exchange) readPrefix() error {
-	if x.body.sendContinue != nil {
-		return nil
-	}
 	if err := x.conn.raw.SetReadDeadline(x.request.Deadline); err != nil {
 		return pimento.NotRun(pimento.ReasonBodyCut, err.Error())
 	}
@@ -58,6 +54,9 @@
 		return pimento.NotRun(pimento.ReasonBodyCut, err.Error())
 	}
 	x.prefix = prefix[:n]
+	if x.body.isComplete() {
+		return nil // the next read of the connection sets a deadline of its own
+	}
 	if err := x.conn.raw.SetReadDeadline(time.Time{}); err != nil {
 		return pimento.NotRun(pimento.ReasonBodyCut, err.Error())
 	}
@@ -72,12 +71,7 @@
 	requests := x.conn.acceptor.requests
 	stop := context.AfterFunc(requests, func() { cancel(context.Cause(requests)) })
 	defer stop()
-	var src io.Reader = http.NoBody
-	if x.body != nil {
-		src = io.MultiReader(bytes.NewReader(x.prefix), x.body)
-	}
-	x.request.SetFingerprint(x.prefix)
-	answer, err := x.conn.acceptor.Handler.Handle(ctx, x.request, src)
+	answer, err := x.conn.acceptor.Handler.Handle(ctx, x.request, x.source())
 	if x.body != nil {
 		x.body.endHandler()
 	}
@@ -90,6 +84,47 @@
 	}
 }
 
+// source returns the body as the handler reads it, and sets the fingerprint of the
+// request unless the body awaits a 100 Continue.
+func (x *exchange) source() io.Reader {
+	if x.body != nil && x.body.sendContinue != nil {
+		return &awaitedBody{exchange: x}
+	}
+	x.request.SetFingerprint(x.prefix)
+	if x.body == nil {
+		return http.NoBody
+	}
+	return io.MultiReader(bytes.NewReader(x.prefix), x.body)
+}
+
+// awaitedBody is a body that awaits a 100 Continue. The first read reads its beginning and
+// sets the fingerprint of its request.
+type awaitedBody struct {
+	exchange *exchange
+	src      io.Reader // nil before the first read
+	err      error     // of the first read
+}
+
+// Read implements io.Reader.
+func (b *awaitedBody) Read(p []byte) (int, error) {
+	if b.src == nil && b.err == nil {
+		b.start()
+	}
+	if b.err != nil {
+		return 0, b.err
+	}
+	return b.src.Read(p)
+}
+
+func (b *awaitedBody) start() {
+	x := b.exchange
+	if b.err = x.readPrefix(); b.err != nil {
+		return
+	}
+	x.request.SetFingerprint(x.prefix)
+	b.src = io.MultiReader(bytes.NewReader(x.prefix), x.body)
+}
+
 // refuse ends an exchange before it reaches the handler.
 func (x *exchange) refuse(outcome *pimento.OutcomeError) {
 	if x.mayFitLater(outcome) {
--- a/acceptor/fingerprint_test.go
+++ b/acceptor/fingerprint_test.go
@@ -3,24 +3,36 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"pimentorelay.example/pimento"
 )
 
-// fingerprints passes on the fingerprint of each request.
+// fingerprints passes on the fingerprint of each request, once its body has come. It
+// answers whether there was one before.
 type fingerprints chan uint64
 
 // Handle implements Handler.
 func (f fingerprints) Handle(_ context.Context, r *pimento.Request, body io.Reader) (pimento.Answer, error) {
+	early := r.Fingerprint
+	if _, err := io.ReadFull(body, make([]byte, 1)); err != nil {
+		return pimento.Answer{}, err
+	}
+	if early != 0 && early != r.Fingerprint {
+		return pimento.Answer{}, errors.New("the fingerprint has changed")
+	}
 	f <- r.Fingerprint
 	_, err := io.Copy(io.Discard, body)
-	return textAnswer(""), err
+	return textAnswer(fmt.Sprint(early != 0)), err
 }
 
 // TestCopyInAnotherFramingIsAnotherRequest guards against copies of one request that
@@ -51,10 +63,54 @@
 				}
 				_, err := io.WriteString(conn, "POST /a HTTP/1.1\r\n"+head+"\r\n"+body)
 				is.NoErr(err)
-				_, _, err = readAnswer(t, bufio.NewReader(conn), "POST")
+				early, err := readFinalAnswer(t, conn)
 				is.NoErr(err)
+				is.Equal(early, fmt.Sprint(!strings.Contains(head, "Expect")))
 			}
 			is.Equal(<-seen, <-seen)
 		})
 	}
 }
+
+// readFinalAnswer returns the body of the answer on a connection, after a 100 Continue.
+func readFinalAnswer(t *testing.T, conn net.Conn) (string, error) {
+	t.Helper()
+	r := bufio.NewReader(conn)
+	res, body, err := readAnswer(t, r, "POST")
+	if err == nil && res.StatusCode == http.StatusContinue {
+		_, body, err = readAnswer(t, r, "POST")
+	}
+	return body, err
+}
+
+// TestAwaitedBodiesOfOneLengthAreOneRequest guards against requests with different bodies
+// after Expect: 100-continue that share a fingerprint, since they have the same length.
+func TestAwaitedBodiesOfOneLengthAreOneRequest(t *testing.T) {
+	is := is.New(t)
+	a, _, dial := startAcceptor(t, pimento.Limits{})
+	seen := make(fingerprints, 2)
+	a.Handler = seen
+	for _, body := range []string{"aaaa", "bbbb"} {
+		conn := dial()
+		_, err := io.WriteString(conn, "POST /a HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n"+body)
+		is.NoErr(err)
+		_, err = readFinalAnswer(t, conn)
+		is.NoErr(err)
+	}
+	first, second := <-seen, <-seen
+	is.True(first != second)
+}
+
+// TestAwaitedBodyThatDoesNotCome guards against a request that is not answered at its
+// deadline, since its caller has not sent the body that it has announced.
+func TestAwaitedBodyThatDoesNotCome(t *testing.T) {
+	is := is.New(t)
+	a, _, dial := startAcceptor(t, pimento.Limits{})
+	a.Handler = make(fingerprints, 1)
+	conn := dial()
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(800 * time.Millisecond)))
+	_, err := io.WriteString(conn, "POST /a HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 4\r\nPimentorelay-Deadline-Ms: 300\r\n\r\n")
+	is.NoErr(err)
+	_, err = readFinalAnswer(t, conn)
+	is.NoErr(err)
+}
--- a/admitter/acquire.go
+++ b/admitter/acquire.go
@@ -225,6 +225,11 @@
 
 // Serve implements forwarder.Permit.
 func (p *permit) Serve(ctx context.Context, r *pimento.Request, body io.Reader) (pimento.Answer, pimento.AnswerMetadata, error) {
+	body, err := p.identify(r, body)
+	if err != nil {
+		p.result = scheduler.Result{Kind: scheduler.ResultCanceled, Unsent: true}
+		return pimento.Answer{}, pimento.AnswerMetadata{}, err
+	}
 	if wait := p.admitter.quarantineWait(p.fingerprint); wait > 0 {
 		p.result = scheduler.Result{Kind: scheduler.ResultCanceled, Unsent: true}
 		return pimento.Answer{}, pimento.AnswerMetadata{}, quarantineRefusal(wait)
--- a/admitter/crash.go
+++ b/admitter/crash.go
@@ -1,6 +1,9 @@
 package admitter
 
 import (
+	"bufio"
+	"errors"
+	"io"
 	"time"
 
 	"pimentorelay.example/pimento"
@@ -41,6 +44,38 @@
 	return 0
 }
 
+// identify waits for the beginning of a body that awaits a 100 Continue, which gives its
+// request a fingerprint, and returns the body. If crashes count against the request, its
+// dispatcher has to decide again, which did not know what it is.
+func (p *permit) identify(r *pimento.Request, body io.Reader) (io.Reader, error) {
+	if r.Fingerprint != 0 || body == nil {
+		return body, nil
+	}
+	whole := bufio.NewReader(body)
+	if _, err := whole.Peek(1); err != nil && !errors.Is(err, io.EOF) {
+		var outcome *pimento.OutcomeError
+		if errors.As(err, &outcome) {
+			return nil, outcome
+		}
+		return nil, pimento.NotRun(pimento.ReasonBodyCut, err.Error())
+	}
+	p.fingerprint = quarantiner.Fingerprint(r.Fingerprint)
+	if !p.admitter.hasReachedCrashLimit(p.fingerprint) {
+		return whole, nil
+	}
+	again := pimento.NotRun(pimento.ReasonAvoided, "earlier copies have crashed upstreams, and the permit was issued before its body came")
+	again.RetryAfter = trialRetryAfter
+	return nil, again
+}
+
+// hasReachedCrashLimit reports whether enough crashes count against a request to refuse
+// it, now or before.
+func (a *Admitter) hasReachedCrashLimit(p quarantiner.Fingerprint) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.quarantine.Crashes(p) >= quarantiner.CrashLimit
+}
+
 // hasPermit reports whether a copy of a request has a permit of this process. The
 // caller holds mu.
 func (a *Admitter) hasPermit(p quarantiner.Fingerprint) bool {
--- a/admitter/crash_test.go
+++ b/admitter/crash_test.go
@@ -3,8 +3,15 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,6 +21,7 @@
 	"pimentorelay.example/pimento/forwarder"
 	"pimentorelay.example/pimento/quarantiner"
 	"pimentorelay.example/pimento/scheduler"
+	"pimentorelay.example/pimento/translator"
 )
 
 const (
@@ -340,3 +348,75 @@
 	is.Equal(resultKind(pimento.Answer{}, pimento.NotRun(pimento.ReasonTimeout, "")), scheduler.ResultCanceled)
 	is.Equal(resultKind(pimento.Answer{}, pimento.Unknown(pimento.ReasonTimeout, "")), scheduler.ResultTimeout)
 }
+
+// awaitedBody is a body that comes once it is read, and then identifies its request.
+type awaitedBody struct {
+	io.Reader
+	request *pimento.Request
+}
+
+// Read implements io.Reader.
+func (b *awaitedBody) Read(p []byte) (int, error) {
+	b.request.Fingerprint = 7
+	return b.Reader.Read(p)
+}
+
+// TestRequestIsKnownOnceItsBodyComes guards against a request that is sent, or whose crash
+// is not counted, since its body comes after its permit.
+func TestRequestIsKnownOnceItsBodyComes(t *testing.T) {
+	for _, facts := range [][]quarantiner.Fact{nil, threeCrashes} {
+		t.Run(fmt.Sprint(len(facts)), func(t *testing.T) {
+			is := is.New(t)
+			var received atomic.Int32
+			up := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+				received.Add(1)
+				panic(http.ErrAbortHandler)
+			}))
+			defer up.Close()
+			n := newNetwork(t)
+			b := n.nodes["b"]
+			b.Wire = translator.Wire{}
+			n.moveUpstream(addressOf(up.Listener))
+			b.MergeCrashFacts(facts)
+			r := request(testTimeout)
+			r.Method, r.Path, r.Host, r.BodyLength, r.Fingerprint = "POST", "/", "x", 4, 0
+			p, err := b.Acquire(t.Context(), r, forwarder.AttemptState{Number: 1})
+			is.NoErr(err)
+			_, _, err = p.Serve(t.Context(), r, &awaitedBody{Reader: strings.NewReader("body"), request: r})
+			is.True(err != nil)
+			p.Done(err)
+			if facts == nil {
+				is.Equal(received.Load(), int32(1))
+				n.setState(time.Unix(2, 0))
+				b.mu.Lock()
+				defer b.mu.Unlock()
+				is.Equal(b.quarantine.Crashes(7), 1)
+				return
+			}
+			is.Equal(received.Load(), int32(0))
+			is.True(isAvoided(err)) // its dispatcher is asked again
+			var out *pimento.OutcomeError
+			_, err = b.Acquire(t.Context(), r, forwarder.AttemptState{Number: 1, Again: true})
+			is.True(errors.As(err, &out))
+			is.Equal(out.Reason, pimento.ReasonQuarantined)
+		})
+	}
+}
+
+// isAvoided reports whether a permit was not used.
+func isAvoided(err error) bool {
+	var out *pimento.OutcomeError
+	return errors.As(err, &out) && out.Outcome == pimento.OutcomeNotRun && out.Reason == pimento.ReasonAvoided
+}
+
+// moveUpstream passes all processes the state with another address of upstream "u".
+func (n *network) moveUpstream(address netip.AddrPort) {
+	for _, a := range n.nodes {
+		a.mu.Lock()
+		next := *a.state
+		a.mu.Unlock()
+		next.Upstreams = slices.Clone(next.Upstreams)
+		next.Upstreams[0].Address = address
+		a.Update(&next)
+	}
+}
--- a/wire.go
+++ b/wire.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,12 +23,14 @@
 	ArrivedAt   time.Time // end of its header; zero: unknown
 	Deadline    time.Time
 	GoalAt      time.Time // an answer until then has its full utility
-	Fingerprint uint64    // see SetFingerprint
+	// Fingerprint is set by SetFingerprint. It is zero while the body awaits a 100
+	// Continue: the first read of the body sets it.
+	Fingerprint uint64
 }
 
 // SetFingerprint sets the fingerprint from what is the same when a caller retries
 // a request: method, host, path, and the beginning of the body. The length of a long
-// body is known or not, as the body is framed, so it counts only if nothing was read.
+// body is known or not, as the body is framed, so it does not count.
 func (r *Request) SetFingerprint(bodyStart []byte) {
 	h := xxhash.New()
 	for _, part := range []string{r.Method, normalizeHost(r.Host), r.Path} {
@@ -37,9 +38,6 @@
 		_, _ = h.WriteString(part)
 		_, _ = h.WriteString("\n")
 	}
-	if len(bodyStart) == 0 && r.BodyLength > 0 {
-		_, _ = h.WriteString("unread " + strconv.FormatInt(r.BodyLength, 10))
-	}
 	_, _ = h.Write(bodyStart)
 	r.Fingerprint = max(h.Sum64(), 1)
 }
