Reproduce retries that wait and arrive in another window (red)

The rule counts arrivals at upstreams. Those that have waited arrive together with those that ask when the count of the first has ended; the unused fifth of the ratio (ratioShare) does not make up for it.

--- a/scheduler/budget_test.go
+++ b/scheduler/budget_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"pimentorelay.example/pimento"
 )
 
 // The retry budget that operators set.
@@ -53,3 +55,77 @@
 		}
 	}
 }
+
+// arrivals offers requests to a pool and notes when retries get permits.
+type arrivals struct {
+	pool    *Pool
+	now     time.Time
+	lastID  uint64
+	retry   map[uint64]bool // by ticket
+	running []uint64        // tickets with permits
+	retries []time.Time
+}
+
+// offer offers a request, and reports whether it may be sent or waits.
+func (a *arrivals) offer(retry bool) bool {
+	a.lastID++
+	a.retry[a.lastID] = retry
+	list := a.pool.Offer(a.now, Ticket{
+		ID: a.lastID, Route: "r", Arrived: a.now, GoalAt: a.now.Add(retryWindow), Deadline: a.now.Add(retryWindow), Retry: retry,
+	})
+	a.record(list)
+	return len(list) == 0 || list[0].Refusal == nil
+}
+
+func (a *arrivals) record(list []Decision) {
+	for _, d := range list {
+		if d.Refusal != nil {
+			continue
+		}
+		a.running = append(a.running, d.Ticket)
+		if a.retry[d.Ticket] {
+			a.retries = append(a.retries, a.now)
+		}
+	}
+}
+
+// answer ends all requests that have a permit now.
+func (a *arrivals) answer() {
+	ended := a.running
+	a.running = nil
+	for _, id := range ended {
+		a.record(a.pool.Done(a.now, id, Result{Kind: ResultAnswered}))
+	}
+}
+
+// TestRetriesThatWaitArriveInAnotherWindow guards against retries that count when they ask
+// for a permit, wait for it, and reach upstreams together with those that ask later.
+func TestRetriesThatWaitArriveInAnotherWindow(t *testing.T) {
+	const (
+		slots = 250
+		bound = int(retryRatio*slots + retrySlack) // in each window of the test
+	)
+	a := &arrivals{
+		pool: New(Config{LimitShare: 1, RetryRatio: retryRatio, RetrySlack: retrySlack, RetryWindow: retryWindow}),
+		now:  time.Unix(1_800_000_000, 0), retry: make(map[uint64]bool),
+	}
+	a.pool.SetUpstreams([]Upstream{{Server: pimento.Server{Name: "u", Slots: slots}, Usable: true}})
+	for _, wait := range []time.Duration{4 * time.Second, 0} {
+		for range slots {
+			a.offer(false)
+		}
+		if wait == 0 {
+			a.answer()
+		}
+		for a.offer(true) {
+			continue
+		}
+		a.now = a.now.Add(wait)
+		a.answer()
+		a.answer()
+		a.now = a.now.Add(retryWindow + retryWindow/budgetBuckets - wait)
+	}
+	if n := mostInWindow(a.retries); n > bound {
+		t.Errorf("%d retries of %d requests got permits in a window; allowed %d", n, slots, bound)
+	}
+}
