Count a retry for a whole window, from when it is sent

Upstreams got more repeats within 10 s than a fifth of the requests and the fixed allowance.

Cause: the budget looked back over 20 buckets with the present one among them, 9.5 to 10 s, and cleared itself by the time of day, which may step. A retry counted when it asked for a permit; one that waited for seconds reached its upstream together with those that asked when it counted no more.

Evidence: TestTwoBurstsOfRetriesFitInOneWindow (373 retries, 258 allowed) and TestRetriesThatWaitArriveInAnotherWindow (148, 108 allowed) failed on the code before.

Change: retries count for two buckets more than a window, from when they get their permit; waiting ones are added when another one asks, and one for which nothing is left when its turn comes is refused. Buckets follow the monotonic clock.

--- a/scheduler/budget.go
+++ b/scheduler/budget.go
@@ -5,6 +5,10 @@
 const (
 	// budgetBuckets is the number of buckets that the window is divided into.
 	budgetBuckets = 20
+	// retryBuckets is the number of buckets for which a retry counts: the window, the
+	// present bucket, of which only a part has passed, and one for the way to the
+	// upstream.
+	retryBuckets = budgetBuckets + 2
 	// ratioShare is the share of the retry ratio that is granted, since a
 	// request may reach its upstream in another window than it was sent in.
 	ratioShare = 0.8
@@ -21,43 +25,66 @@
 	slack  float64
 	window time.Duration
 
-	buckets [budgetBuckets]struct{ requests, retries float64 }
-	current int64 // number of the present bucket, counted from the Unix epoch
+	buckets [retryBuckets]struct{ requests, retries float64 }
+	begunAt time.Time // beginning of the first bucket
+	current int64     // number of the present bucket
 }
 
-// advance clears the buckets that have left the window and returns the index of
-// the present one.
-func (b *budget) advance(now time.Time) int {
+// advance clears the buckets that count no more.
+func (b *budget) advance(now time.Time) {
 	if b.window <= 0 {
-		return 0
+		return
 	}
-	bucket := now.UnixNano() / (int64(b.window) / budgetBuckets)
-	for n := 0; b.current < bucket && n < budgetBuckets; n++ {
+	if b.begunAt.IsZero() {
+		b.begunAt = now
+	}
+	bucket := int64(now.Sub(b.begunAt) / (b.window / budgetBuckets))
+	for n := 0; b.current < bucket && n < retryBuckets; n++ {
 		b.current++
-		b.buckets[b.current%budgetBuckets] = struct{ requests, retries float64 }{}
+		*b.bucket(0) = struct{ requests, retries float64 }{}
 	}
-	b.current = bucket
-	return int(bucket % budgetBuckets)
+	b.current = max(b.current, bucket)
+}
+
+// bucket returns the bucket that is the given number of buckets old.
+func (b *budget) bucket(age int64) *struct{ requests, retries float64 } {
+	return &b.buckets[(b.current-age+retryBuckets)%retryBuckets]
 }
 
 // recordRequest counts the first attempt of a request.
-func (b *budget) recordRequest(now time.Time) { b.buckets[b.advance(now)].requests++ }
+func (b *budget) recordRequest(now time.Time) {
+	b.advance(now)
+	b.bucket(0).requests++
+}
 
-// allowRetry reports whether a retry may be sent and, if so, counts it.
-func (b *budget) allowRetry(now time.Time, rank int) bool {
-	i := b.advance(now)
+// recordRetry counts a retry that is sent.
+func (b *budget) recordRetry(now time.Time) {
+	b.advance(now)
+	b.bucket(0).retries++
+}
+
+// allows reports whether some more retries may be sent.
+func (b *budget) allows(now time.Time, rank, more int) bool {
+	b.advance(now)
 	var requests, retries float64
-	for _, s := range b.buckets {
-		requests += s.requests
-		retries += s.retries
+	for age := range int64(retryBuckets) {
+		retries += b.bucket(age).retries
+		if age < budgetBuckets {
+			requests += b.bucket(age).requests
+		}
 	}
 	slack := b.slack * dispatcherSlackShare
 	if rank > 0 {
 		slack = b.slack * (1 - dispatcherSlackShare) / float64(int(1)<<min(rank, 8))
 	}
-	if retries+1 > b.ratio*requests*ratioShare+slack {
+	return retries+float64(more) <= b.ratio*requests*ratioShare+slack
+}
+
+// allowRetry reports whether a retry may be sent now and, if so, counts it.
+func (b *budget) allowRetry(now time.Time, rank int) bool {
+	if !b.allows(now, rank, 1) {
 		return false
 	}
-	b.buckets[i].retries++
+	b.recordRetry(now)
 	return true
 }
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -206,8 +206,8 @@
 	switch {
 	case t.Again:
 	case t.Retry:
-		if !p.budget.allowRetry(now, p.config.Rank) {
-			return []Decision{{Ticket: t.ID, Refusal: pimento.NotRun(pimento.ReasonRetryBudget, "the repeats of this service are used up")}}
+		if !p.budget.allows(now, p.config.Rank, p.waitingRetries()+1) {
+			return []Decision{{Ticket: t.ID, Refusal: retryRefusal()}}
 		}
 	default:
 		p.budget.recordRequest(now)
@@ -219,6 +219,25 @@
 	return p.dispatch(now)
 }
 
+// countsAsRetry reports whether a ticket uses the retry budget when it is sent.
+func (t *Ticket) countsAsRetry() bool { return t.Retry && !t.Again }
+
+// waitingRetries returns how many retries wait: they use the budget when they are sent.
+func (p *Pool) waitingRetries() int {
+	n := 0
+	for _, t := range p.waiting {
+		if t.countsAsRetry() {
+			n++
+		}
+	}
+	return n
+}
+
+// retryRefusal returns the refusal of a retry for which there is no budget.
+func retryRefusal() *pimento.OutcomeError {
+	return pimento.NotRun(pimento.ReasonRetryBudget, "the repeats of this service are used up")
+}
+
 // Cancel removes a request whose caller no longer waits for it.
 func (p *Pool) Cancel(now time.Time, id uint64) []Decision {
 	for i, t := range p.waiting {
--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -84,6 +84,10 @@
 				rest = append(rest, t)
 				continue
 			}
+			if t.countsAsRetry() && !p.budget.allowRetry(now, p.config.Rank) {
+				out = append(out, Decision{Ticket: t.ID, Refusal: retryRefusal()})
+				continue
+			}
 			expected := p.expectedDuration(now, t, u)
 			p.start(now, t, u)
 			out = append(out, Decision{
