Divide cold rates, retries and limits between processes by one rule

Many processes that reach no dispatcher overrun a cold upstream, and repeat more together than operators allow.

Cause: the parts of a limit are divided by the number of processes, those of cold rates and of the fixed allowance of retries were not: each process outside the preference list took an eighth of the rate, its first request at once, and a twentieth of the allowance, however many there are. With an empty list each had the rank of the dispatcher.

Change: scheduler.Share is the part of one process, by its place in the list and the number of processes; all parts together are one and a half at most, which is what cold upstreams and limits bear, and two thirds of each part is one of the retry allowance. The first request of a process other than the dispatcher to a cold upstream is spread over its interval. Waits at a cold upstream are estimated with the same rate.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -21,10 +21,13 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"pimentorelay.example/pimento"
 	"pimentorelay.example/pimento/avoider"
 	"pimentorelay.example/pimento/limiter"
@@ -223,7 +226,6 @@
 		}
 	}
 	p.machine.SetConfig(a.poolConfig(key))
-	p.machine.SetRank(a.rank(key))
 	p.machine.SetUpstreams(list)
 	p.machine.SetOwners(a.state.Owners[key.service])
 	now := time.Now()
@@ -237,29 +239,30 @@
 	return scheduler.Config{
 		Keyed:      s.Sharing == pimento.SharingKeyed,
 		RetryRatio: a.RetryBudget.RetryRatio, RetrySlack: a.RetryBudget.RetrySlack / float64(count), RetryWindow: a.RetryBudget.RetryWindow,
-		ColdRate: s.ColdRate, LimitShare: a.limitShare(key),
+		ColdRate: s.ColdRate, Share: a.share(key), Phase: a.phase(),
 	}
 }
 
-// rank returns the position of this process in the preference list of a pool.
-// The caller holds mu.
-func (a *Admitter) rank(key poolKey) int {
+// share returns the part of what all processes together may send to a pool that this
+// process may use. The caller holds mu.
+func (a *Admitter) share(key poolKey) float64 {
+	var list []pimento.ProcessID
 	for _, p := range a.state.Pools {
-		if p.Service != key.service || p.Index != key.index {
-			continue
-		}
-		for i, id := range p.PreferenceList {
-			if id == a.Self.ID {
-				return i
-			}
+		if p.Service == key.service && p.Index == key.index {
+			list = p.PreferenceList
 		}
-		return len(p.PreferenceList)
 	}
-	return unknownRank
+	rank := slices.Index(list, a.Self.ID)
+	if rank < 0 {
+		rank = len(list)
+	}
+	return scheduler.Share(rank, len(list), len(a.state.Processes))
 }
 
-// unknownRank is the rank where the preference list is not known.
-const unknownRank = 3
+// phase returns a number from 0 to 1 that differs between processes.
+func (a *Admitter) phase() float64 {
+	return float64(xxhash.Sum64String(string(a.Self.ID))) / math.MaxUint64
+}
 
 // pool returns a pool, which it creates if necessary. The caller holds mu.
 func (a *Admitter) pool(key poolKey) *pool {
--- a/admitter/dispatcher.go
+++ b/admitter/dispatcher.go
@@ -156,7 +156,7 @@
 	defer a.mu.Unlock()
 	var reports []pimento.UpstreamReport
 	for key, p := range a.pools {
-		if a.rank(key) == 0 {
+		if a.share(key) == 1 {
 			reports = append(reports, p.machine.UpstreamReports(time.Now())...)
 		}
 	}
--- a/admitter/limits.go
+++ b/admitter/limits.go
@@ -87,35 +87,3 @@
 	defer a.mu.Unlock()
 	return a.limits.Reports(time.Now())
 }
-
-// Parts of a limit that the processes other than the dispatcher may use, since
-// that may be active still: the first backup, each later one half of the part of
-// the one before, and all processes outside the preference list together.
-const (
-	firstBackupShare = 1.0 / 4
-	outsidersShare   = 1.0 / 8
-)
-
-// limitShare returns the part of the limit of an upstream that this process may
-// use. All parts together are at most one and a half. The caller holds mu.
-func (a *Admitter) limitShare(key poolKey) float64 {
-	rank := a.rank(key)
-	switch {
-	case rank == 0:
-		return 1
-	case rank < a.listLength(key):
-		return firstBackupShare / float64(int(1)<<(rank-1))
-	default:
-		return outsidersShare / float64(max(1, len(a.state.Processes)))
-	}
-}
-
-// listLength returns the length of a pool's preference list. The caller holds mu.
-func (a *Admitter) listLength(key poolKey) int {
-	for _, p := range a.state.Pools {
-		if p.Service == key.service && p.Index == key.index {
-			return len(p.PreferenceList)
-		}
-	}
-	return 0
-}
--- a/admitter/limits_test.go
+++ b/admitter/limits_test.go
@@ -17,12 +17,12 @@
 	for _, id := range []pimento.ProcessID{"a", "b", "c"} {
 		a := n.nodes[id]
 		a.mu.Lock()
-		sum += a.limitShare(poolKey{service: "s"})
+		sum += a.share(poolKey{service: "s"})
 		a.mu.Unlock()
 	}
 	outsider := n.nodes["a"]
 	outsider.mu.Lock()
-	share := outsider.limitShare(poolKey{service: "another"})
+	share := outsider.share(poolKey{service: "another"})
 	sum += share * float64(len(outsider.state.Processes))
 	outsider.mu.Unlock()
 	is.True(share > 0)
--- a/scheduler/bar_test.go
+++ b/scheduler/bar_test.go
@@ -12,7 +12,7 @@
 // barredPool returns a pool with upstreams a and b, with one slot each; with keys, a owns
 // all of them.
 func barredPool(keyed bool) *Pool {
-	p := New(Config{Keyed: keyed, LimitShare: 1, RetrySlack: 10, RetryWindow: 10 * time.Second})
+	p := New(Config{Keyed: keyed, RetrySlack: 10, RetryWindow: 10 * time.Second})
 	p.SetUpstreams([]Upstream{
 		{Server: pimento.Server{Name: "a", Slots: 1, Started: time.UnixMilli(5)}, Usable: true},
 		{Server: pimento.Server{Name: "b", Slots: 1, Started: time.UnixMilli(6)}, Usable: true},
--- a/scheduler/bounds_test.go
+++ b/scheduler/bounds_test.go
@@ -17,7 +17,7 @@
 		rng := rand.New(rand.NewPCG(seed, 3))
 		budgets := make([]budget, 3)
 		for i := range budgets {
-			budgets[i] = budget{ratio: ratio, slack: slack, window: window}
+			budgets[i] = budget{ratio: ratio, slack: slack * Share(i, 3, 3) / totalShare, window: window}
 		}
 		var requests, retries []time.Time
 		for now := time.Unix(1_800_000_000, 0); len(requests) < 4000; now = now.Add(time.Duration(rng.ExpFloat64() * float64(5*time.Millisecond))) {
@@ -25,7 +25,7 @@
 			requests = append(requests, now)
 			budgets[rank].recordRequest(now)
 			for range rng.IntN(4) {
-				if budgets[rank].allowRetry(now, rank) {
+				if budgets[rank].allowRetry(now) {
 					retries = append(retries, now)
 				}
 			}
@@ -59,7 +59,7 @@
 	start := time.Unix(1_800_000_000, 0)
 	var pools []*Pool
 	for rank := range 4 {
-		p := New(Config{ColdRate: rate, Rank: rank})
+		p := New(Config{ColdRate: rate, Share: Share(rank, 3, 4)})
 		p.SetUpstreams([]Upstream{{Usable: true, Server: pimento.Server{Name: "u", Slots: 4, WarmAt: start.Add(time.Minute)}}})
 		pools = append(pools, p)
 	}
--- a/scheduler/budget.go
+++ b/scheduler/budget.go
@@ -12,9 +12,6 @@
 	// ratioShare is the share of the retry ratio that is granted, since a
 	// request may reach its upstream in another window than it was sent in.
 	ratioShare = 0.8
-	// dispatcherSlackShare is the share of the fixed allowance that the
-	// dispatcher uses; the backups share the rest.
-	dispatcherSlackShare = 0.6
 )
 
 // budget bounds the retries of a service in any period of the window's length.
@@ -22,7 +19,7 @@
 // load of retries.
 type budget struct {
 	ratio  float64
-	slack  float64
+	slack  float64 // part of the fixed allowance that this process may use
 	window time.Duration
 
 	buckets [retryBuckets]struct{ requests, retries float64 }
@@ -64,7 +61,7 @@
 }
 
 // allows reports whether some more retries may be sent.
-func (b *budget) allows(now time.Time, rank, more int) bool {
+func (b *budget) allows(now time.Time, more int) bool {
 	b.advance(now)
 	var requests, retries float64
 	for age := range int64(retryBuckets) {
@@ -73,16 +70,12 @@
 			requests += b.bucket(age).requests
 		}
 	}
-	slack := b.slack * dispatcherSlackShare
-	if rank > 0 {
-		slack = b.slack * (1 - dispatcherSlackShare) / float64(int(1)<<min(rank, 8))
-	}
-	return retries+float64(more) <= b.ratio*requests*ratioShare+slack
+	return retries+float64(more) <= b.ratio*requests*ratioShare+b.slack
 }
 
 // allowRetry reports whether a retry may be sent now and, if so, counts it.
-func (b *budget) allowRetry(now time.Time, rank int) bool {
-	if !b.allows(now, rank, 1) {
+func (b *budget) allowRetry(now time.Time) bool {
+	if !b.allows(now, 1) {
 		return false
 	}
 	b.recordRetry(now)
--- a/scheduler/budget_parts_test.go
+++ b/scheduler/budget_parts_test.go
@@ -31,10 +31,10 @@
 		t.Run(c.name, func(t *testing.T) {
 			now, retries := time.Unix(1_800_000_000, 0), 0
 			for _, rank := range c.ranks {
-				b := budget{ratio: ratio, slack: slack, window: window}
+				b := New(Config{RetryRatio: ratio, RetrySlack: slack, RetryWindow: window, Share: Share(rank, outside, len(c.ranks))}).budget
 				for range c.requests {
 					b.recordRequest(now)
-					if b.allowRetry(now, rank) {
+					if b.allowRetry(now) {
 						retries++
 					}
 				}
--- a/scheduler/budget_test.go
+++ b/scheduler/budget_test.go
@@ -46,7 +46,7 @@
 				continue
 			}
 			bursts = bursts[1:]
-			for b.allowRetry(now, 0) {
+			for b.allowRetry(now) {
 				retries = append(retries, now)
 			}
 		}
@@ -106,7 +106,7 @@
 		bound = int(retryRatio*slots + retrySlack) // in each window of the test
 	)
 	a := &arrivals{
-		pool: New(Config{LimitShare: 1, RetryRatio: retryRatio, RetrySlack: retrySlack, RetryWindow: retryWindow}),
+		pool: New(Config{RetryRatio: retryRatio, RetrySlack: retrySlack, RetryWindow: retryWindow}),
 		now:  time.Unix(1_800_000_000, 0), retry: make(map[uint64]bool),
 	}
 	a.pool.SetUpstreams([]Upstream{{Server: pimento.Server{Name: "u", Slots: slots}, Usable: true}})
--- a/scheduler/cold.go
+++ b/scheduler/cold.go
@@ -19,28 +19,40 @@
 type cold struct {
 	until      time.Time
 	lastSentAt time.Time
+	askedAt    time.Time // since when requests for the cold upstream have come
 }
 
 func (c *cold) recordSend(now time.Time) { c.lastSentAt = now }
 
-// nextColdSend returns when the next request may be sent to a cold upstream.
-// The rate is for all processes together and backups may send beside the
-// dispatcher, so each uses half the rate of the process before it in the
-// preference list.
+// coldRate returns how many requests a second this process may send to a cold upstream.
+func (p *Pool) coldRate() float64 {
+	if p.config.ColdRate <= 0 {
+		return defaultColdRate * p.config.Share
+	}
+	return p.config.ColdRate * p.config.Share
+}
+
+// nextColdSend returns when the next request may be sent to a cold upstream. The
+// dispatcher's first one may be sent at once; that of another process is spread over its
+// interval.
 func (p *Pool) nextColdSend(u *upstream) time.Time {
-	rate := p.config.ColdRate
-	if rate <= 0 {
-		rate = defaultColdRate
+	interval := float64(time.Second) / p.coldRate()
+	next := u.cold.lastSentAt.Add(time.Duration(interval))
+	if p.config.Share >= 1 {
+		return next
 	}
-	rate /= float64(int(1) << min(p.config.Rank, 8))
-	return u.cold.lastSentAt.Add(time.Duration(float64(time.Second) / rate))
+	return later(next, u.cold.askedAt.Add(time.Duration(p.config.Phase*interval)))
 }
 
 // coldAllows reports whether a request may be sent to an upstream that may be
 // cold.
 func (p *Pool) coldAllows(now time.Time, u *upstream) bool {
 	if !now.Before(u.cold.until) {
+		u.cold.askedAt = time.Time{}
 		return true
 	}
+	if u.cold.askedAt.IsZero() {
+		u.cold.askedAt = now
+	}
 	return len(u.running) < maxColdRunning && !now.Before(p.nextColdSend(u))
 }
--- a/scheduler/limit.go
+++ b/scheduler/limit.go
@@ -14,7 +14,7 @@
 		rate, limited := limits[name]
 		switch {
 		case limited:
-			u.pacer.SetLimit(now, rate, p.config.LimitShare)
+			u.pacer.SetLimit(now, rate, p.config.Share)
 		case u.pacer.Limited():
 			u.pacer.Clear()
 		}
--- a/scheduler/limit_test.go
+++ b/scheduler/limit_test.go
@@ -12,7 +12,7 @@
 // limitedPool returns a pool with upstreams a and b, of which a takes two requests a
 // second; with keys, a owns all of them.
 func limitedPool(keyed bool) *Pool {
-	p := New(Config{Keyed: keyed, LimitShare: 1})
+	p := New(Config{Keyed: keyed})
 	p.SetUpstreams([]Upstream{
 		{Server: pimento.Server{Name: "a", Slots: 4}, Usable: true},
 		{Server: pimento.Server{Name: "b", Slots: 4}, Usable: true},
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -39,17 +39,18 @@
 // Config is the configuration of a pool.
 type Config struct {
 	Keyed bool
-	// Rank is the position of this process in the pool's preference list. The
-	// backups may act while the dispatcher still does, so they use lower rates.
-	Rank int
+	// Share is the part of what all processes together may send that this one may use
+	// (see [Share]); zero: all of it.
+	Share float64
+	// Phase, from 0 to 1, places this process in the interval between two sends, so that
+	// processes with the same part do not all send at the same moment.
+	Phase float64
 	// RetryRatio, RetrySlack and RetryWindow bound the retries of the service.
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
 	// ColdRate is how many requests a second a cold upstream can handle.
 	ColdRate float64
-	// LimitShare is the part of the limit of an upstream that this process may use.
-	LimitShare float64
 }
 
 // Ticket is a request that asks for a permit.
@@ -144,13 +145,13 @@
 
 // New returns a pool without upstreams.
 func New(config Config) *Pool {
-	return &Pool{
-		config:       config,
+	p := &Pool{
 		upstreams:    make(map[pimento.UpstreamName]*upstream),
 		running:      make(map[uint64]*activeRequest),
 		serviceTimes: make(map[pimento.RouteName]*serviceTime),
-		budget:       budget{ratio: config.RetryRatio, slack: config.RetrySlack, window: config.RetryWindow},
 	}
+	p.SetConfig(config)
+	return p
 }
 
 // SetUpstreams replaces the known state of the upstreams. Measurements are kept
@@ -188,14 +189,14 @@
 // SetOwners replaces the owners of the keys, which must be sorted by range.
 func (p *Pool) SetOwners(owners []Owner) { p.owners = owners }
 
-// SetRank sets the position of this process in the pool's preference list.
-func (p *Pool) SetRank(rank int) { p.config.Rank = rank }
-
-// SetConfig replaces the configuration except the rank.
+// SetConfig replaces the configuration.
 func (p *Pool) SetConfig(config Config) {
-	config.Rank = p.config.Rank
+	if config.Share == 0 {
+		config.Share = 1
+	}
 	p.config = config
-	p.budget.ratio, p.budget.slack, p.budget.window = config.RetryRatio, config.RetrySlack, config.RetryWindow
+	p.budget.ratio, p.budget.window = config.RetryRatio, config.RetryWindow
+	p.budget.slack = config.RetrySlack * config.Share / totalShare
 }
 
 // Offer adds a request and returns the decisions that follow.
@@ -206,7 +207,7 @@
 	switch {
 	case t.Again:
 	case t.Retry:
-		if !p.budget.allows(now, p.config.Rank, p.waitingRetries()+1) {
+		if !p.budget.allows(now, p.waitingRetries()+1) {
 			return []Decision{{Ticket: t.ID, Refusal: retryRefusal()}}
 		}
 	default:
--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -84,7 +84,7 @@
 				rest = append(rest, t)
 				continue
 			}
-			if t.countsAsRetry() && !p.budget.allowRetry(now, p.config.Rank) {
+			if t.countsAsRetry() && !p.budget.allowRetry(now) {
 				out = append(out, Decision{Ticket: t.ID, Refusal: retryRefusal()})
 				continue
 			}
@@ -275,7 +275,7 @@
 // throughput returns how many requests a second an upstream can complete now.
 func (p *Pool) throughput(now time.Time, t *Ticket, u *upstream) float64 {
 	if now.Before(u.cold.until) {
-		return withinLimit(u, max(p.config.ColdRate, 1))
+		return withinLimit(u, p.coldRate())
 	}
 	return withinLimit(u, float64(u.Slots)/max(p.expectedDuration(now, t, u).Seconds(), 0.001))
 }
