Let a new dispatcher use the fixed allowance of retries after a window

Cause: the retries of a service are counted by the process that dispatches.

The ratio counts its own requests, as before.

TestBarUsesNoRetry lets a window pass first, since it tests what uses the allowance and not when it begins.

--- a/scheduler/bar_test.go
+++ b/scheduler/bar_test.go
@@ -133,6 +133,8 @@
 func TestBarUsesNoRetry(t *testing.T) {
 	is := is.New(t)
 	p, now := barredPool(true), time.Unix(1, 0)
+	p.budget.advance(now)
+	now = now.Add(p.config.RetryWindow) // then the fixed allowance may be used
 	for id := range uint64(100) {
 		barred := ticketAt(now, id, 4*time.Second)
 		barred.Retry, barred.Barred = true, []Bar{barOf(now, "a", 5, time.Minute)}
--- a/scheduler/budget.go
+++ b/scheduler/budget.go
@@ -19,14 +19,36 @@
 // load of retries.
 type budget struct {
 	ratio  float64
-	slack  float64 // part of the fixed allowance that this process may use
 	window time.Duration
 
+	slack       float64   // part of the fixed allowance that this process may use
+	slackBefore float64   // that counts until a window after grewAt
+	grewAt      time.Time // when slack was first used; zero: not yet
+
 	buckets [retryBuckets]struct{ requests, retries float64 }
 	begunAt time.Time // beginning of the first bucket
 	current int64     // number of the present bucket
 }
 
+// setSlack sets the part of the fixed allowance. More than before, or than newcomers may use
+// at once, may be used only when a window has passed: the process that had it before may
+// have used it up.
+func (b *budget) setSlack(slack, newcomers float64) {
+	if slack > b.slack {
+		b.slackBefore, b.grewAt = max(b.slack, newcomers), time.Time{}
+	}
+	b.slack = slack
+	b.slackBefore = min(b.slackBefore, slack)
+}
+
+// usableSlack returns the part of the fixed allowance that may be used now.
+func (b *budget) usableSlack(now time.Time) float64 {
+	if now.Sub(b.grewAt) < b.window {
+		return b.slackBefore
+	}
+	return b.slack
+}
+
 // advance clears the buckets that count no more.
 func (b *budget) advance(now time.Time) {
 	if b.window <= 0 {
@@ -35,6 +57,9 @@
 	if b.begunAt.IsZero() {
 		b.begunAt = now
 	}
+	if b.grewAt.IsZero() {
+		b.grewAt = now
+	}
 	bucket := int64(now.Sub(b.begunAt) / (b.window / budgetBuckets))
 	for n := 0; b.current < bucket && n < retryBuckets; n++ {
 		b.current++
@@ -70,7 +95,7 @@
 			requests += b.bucket(age).requests
 		}
 	}
-	return retries+float64(more) <= b.ratio*requests*ratioShare+b.slack
+	return retries+float64(more) <= b.ratio*requests*ratioShare+b.usableSlack(now)
 }
 
 // allowRetry reports whether a retry may be sent now and, if so, counts it.
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -196,7 +196,7 @@
 	}
 	p.config = config
 	p.budget.ratio, p.budget.window = config.RetryRatio, config.RetryWindow
-	p.budget.slack = config.RetrySlack * config.Share / totalShare
+	p.budget.setSlack(config.RetrySlack*config.Share/totalShare, config.RetrySlack*outsidersShare/totalShare)
 }
 
 // Offer adds a request and returns the decisions that follow.
