Read an answer that comes while a body is sent, also if the upstream then closes

What callers saw: an upload that its upstream refused early ended with 502 in place of being sent elsewhere, and what the refusal said of requests to come (Retry-After, Server-Leaving, a limit) was not heard, so that the process went on sending.

Cause: the body is written in the background. When that failed, since the upstream had closed the connection after its answer, the writer closed it on this side too, while the answer waited to be read.

Change: the writer closes the connection only if the caller's body failed; otherwise the reader finds the answer, or the end of the connection.

--- a/connector/client.go
+++ b/connector/client.go
@@ -362,8 +362,9 @@
 	}
 	e.bodyResult = make(chan error, 1)
 	go func() {
-		err := e.writeBody(body)
-		if err != nil {
+		source := &bodySource{Reader: body}
+		err := e.writeBody(source)
+		if source.err != nil || err == io.EOF {
 			e.conn.Close() // the answer would never come
 		}
 		e.bodyResult <- err
@@ -371,6 +372,22 @@
 	return nil
 }
 
+// bodySource is the body of a request with the error of its last read, unless that was
+// its end. The answer may have come before a write to its upstream fails.
+type bodySource struct {
+	io.Reader
+	err error
+}
+
+// Read implements io.Reader.
+func (s *bodySource) Read(p []byte) (int, error) {
+	n, err := s.Reader.Read(p)
+	if err != io.EOF {
+		s.err = err
+	}
+	return n, err
+}
+
 // writeHead writes the head as the caller sent it: the path is not cleaned, and
 // only the headers of the wire protocol and of the body's framing are added.
 func (e *exchange) writeHead() error {
