Let one process try a request again that has crashed three upstreams

When the refusal of such a request ends, each process that issues permits tries a copy: the dispatchers of the pools of a service without keys, and all processes that reach no dispatcher. The rule allows three late copies in all.

Cause: "one copy at a time" was counted by each process for itself.

Evidence: TestEachDispatcherTriesACopyAfterABlock failed: 4 copies with four pools, 9 of nine processes that reach no other.

Change: only the dispatcher of the pool tries one, of several pools without keys that of the first; the others refuse for half a second. Without a dispatcher none is tried.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -289,7 +289,7 @@
 	a.lastTicket++
 	t.ID = a.lastTicket
 	w.deadline = t.Deadline
-	if wait := a.refusedFor(now, w.fingerprint); wait > 0 {
+	if wait := a.refusedFor(now, key, w.fingerprint); wait > 0 {
 		return t.ID, []func(){func() { w.answer(scheduler.Decision{Ticket: t.ID, Refusal: quarantineRefusal(wait)}) }}
 	}
 	p.waiting[t.ID] = w
@@ -314,7 +314,7 @@
 			continue
 		}
 		delete(p.waiting, d.Ticket)
-		if wait := a.refusedFor(now, w.fingerprint); wait > 0 && d.Refusal == nil {
+		if wait := a.refusedFor(now, p.key, w.fingerprint); wait > 0 && d.Refusal == nil {
 			decisions = append(decisions, p.machine.Cancel(now, d.Ticket)...)
 			d = scheduler.Decision{Ticket: d.Ticket, Refusal: quarantineRefusal(wait)}
 		}
--- a/admitter/crash.go
+++ b/admitter/crash.go
@@ -33,17 +33,29 @@
 }
 
 // refusedFor returns how long a request gets no permit here, zero if it may get one.
-// After a block, one copy at a time does. The caller holds mu.
-func (a *Admitter) refusedFor(now time.Time, p quarantiner.Fingerprint) time.Duration {
+// After a block, one copy at a time does, from one process. The caller holds mu.
+func (a *Admitter) refusedFor(now time.Time, key poolKey, p quarantiner.Fingerprint) time.Duration {
 	if wait := a.quarantine.RetryAfter(now, p); wait > 0 {
 		return wait
 	}
-	if a.quarantine.Crashes(p) >= quarantiner.CrashLimit && a.hasPermit(p) {
+	if a.quarantine.Crashes(p) >= quarantiner.CrashLimit && (!a.mayTry(key) || a.hasPermit(p)) {
 		return trialRetryAfter
 	}
 	return 0
 }
 
+// mayTry reports whether this process is the one that tries requests of a pool after a
+// block: its dispatcher and, of several pools without keys, that of the first. The caller
+// holds mu.
+func (a *Admitter) mayTry(key poolKey) bool {
+	pools := a.state.poolsOf(key.service)
+	if s, _ := a.state.Service(key.service); s.Sharing != pimento.SharingKeyed && key.index > 0 || key.index >= len(pools) {
+		return false
+	}
+	list := pools[key.index].PreferenceList
+	return len(list) > 0 && list[0] == a.Self.ID
+}
+
 // identify waits for the beginning of a body that awaits a 100 Continue, which gives its
 // request a fingerprint, and returns the body. If crashes count against the request, its
 // dispatcher has to decide again, which did not know what it is.
