--- a/connector/client.go
+++ b/connector/client.go
@@ -325,7 +325,7 @@
 	if err != nil {
 		return pimento.Answer{}, pimento.AnswerMetadata{}, pimento.Unknown(pimento.ReasonUpstreamLost, err.Error())
 	}
-	if metadata.NotRun && (metadata.ID == "" || metadata.ID == e.request.ID) {
+	if metadata.NotRun && e.isRefusal(metadata) {
 		e.discardBody(res)
 		reason := pimento.ReasonRefused
 		if metadata.Misdirected {
@@ -342,6 +342,12 @@
 	return pimento.Answer{Head: head, Body: &answerBody{ReadCloser: res.Body, exchange: e}}, metadata, nil
 }
 
+// isRefusal reports whether a refusal is certainly of this request. One without an ID may
+// be a second one of an earlier call on the connection.
+func (e *exchange) isRefusal(m pimento.AnswerMetadata) bool {
+	return m.ID == e.request.ID || m.ID == "" && !e.conn.used
+}
+
 // writeRequest sends the head and a short body. A longer body, or one of unknown
 // length, is sent in the background.
 func (e *exchange) writeRequest(body io.Reader) error {
@@ -356,8 +362,9 @@
 	}
 	e.bodyResult = make(chan error, 1)
 	go func() {
-		err := e.writeBody(body)
-		if err != nil {
+		source := &bodySource{Reader: body}
+		err := e.writeBody(source)
+		if source.err != nil || err == io.EOF {
 			e.conn.Close() // the answer would never come
 		}
 		e.bodyResult <- err
@@ -365,6 +372,22 @@
 	return nil
 }
 
+// bodySource is the body of a request with the error of its last read, unless that was
+// its end. The answer may have come before a write to its upstream fails.
+type bodySource struct {
+	io.Reader
+	err error
+}
+
+// Read implements io.Reader.
+func (s *bodySource) Read(p []byte) (int, error) {
+	n, err := s.Reader.Read(p)
+	if err != io.EOF {
+		s.err = err
+	}
+	return n, err
+}
+
 // writeHead writes the head as the caller sent it: the path is not cleaned, and
 // only the headers of the wire protocol and of the body's framing are added.
 func (e *exchange) writeHead() error {
--- a/leader/cluster_test.go
+++ b/leader/cluster_test.go
@@ -54,6 +54,8 @@
 	stallRate      float64                            // share of the grants before which the process stalls
 	messageCosts   map[pimento.HostName]time.Duration // that the leader's loop of a slow host takes for each message
 	sendsLate      bool                               // a grant is sent after a stall although its deadline has passed
+	refusesEntries bool                               // the store rejects the registration of processes
+	takesExpired   bool                               // a grant that takes effect after its hold counts for the order of fences
 	fences         map[pimento.Key]map[pimento.UpstreamName]uint64
 	violations     []string // of exclusive ownership and the order of fences
 	goroutines     sync.WaitGroup
@@ -186,6 +188,10 @@
 		panic(err)
 	}
 	for ctx.Err() == nil {
+		if p.cluster.isSet(&p.cluster.refusesEntries) {
+			sleep(ctx, 200*time.Millisecond)
+			continue
+		}
 		e := pimento.Entry{Kind: KindProcesses, Name: string(p.self.Host), Value: value}
 		_, err := p.Create(ctx, e)
 		var exists *pimento.ExistsError
@@ -300,6 +306,13 @@
 	return cl.rng.Float64() < *p
 }
 
+// isSet reports whether *p is set, which mu guards.
+func (cl *cluster) isSet(p *bool) bool {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	return *p
+}
+
 func (cl *cluster) randomDuration(a, b time.Duration) time.Duration {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
@@ -769,6 +782,9 @@
 	}
 	until := arrivedAt.Add(g.Hold + g.Hold/50)
 	if !time.Now().Before(until) {
+		if cl.takesExpired {
+			cl.checkTaken(by, u, g)
+		}
 		return nil
 	}
 	cl.checkGrant(by, u, g)
@@ -785,6 +801,7 @@
 // under a higher fence. The caller holds mu.
 func (cl *cluster) checkGrant(by pimento.ProcessID, u *upstream, g pimento.KeyGrant) {
 	now := time.Now()
+	cl.checkTaken(by, u, g)
 	for name, o := range cl.upstreams {
 		if o == u || !o.up {
 			continue
@@ -795,12 +812,6 @@
 					now.Sub(cl.started), by, u.server.Name, g.Range, g.Fence, name, x.KeyRange, x.fence, x.until.Sub(now)))
 			}
 		}
-		for _, x := range o.taken {
-			if x.Overlaps(g.Range) && x.fence >= g.Fence {
-				cl.violations = append(cl.violations, fmt.Sprintf("%v: leader %s granted upstream %s keys %s with fence %d, %s has had %s with fence %d",
-					now.Sub(cl.started), by, u.server.Name, g.Range, g.Fence, name, x.KeyRange, x.fence))
-			}
-		}
 		for _, x := range o.fences {
 			if x.Overlaps(g.Range) && x.fence > g.Fence && slices.ContainsFunc(o.grants, func(y grant) bool { return y.Overlaps(g.Range) && y.fence > g.Fence }) {
 				cl.violations = append(cl.violations, fmt.Sprintf("%v: leader %s granted upstream %s keys %s with fence %d, below fence %d of %s",
@@ -810,6 +821,22 @@
 	}
 }
 
+// checkTaken records a violation if another upstream has had the keys under a fence that
+// is not lower. The caller holds mu.
+func (cl *cluster) checkTaken(by pimento.ProcessID, u *upstream, g pimento.KeyGrant) {
+	for name, o := range cl.upstreams {
+		if o == u || !o.up {
+			continue
+		}
+		for _, x := range o.taken {
+			if x.Overlaps(g.Range) && x.fence >= g.Fence {
+				cl.violations = append(cl.violations, fmt.Sprintf("%v: leader %s granted upstream %s keys %s with fence %d, %s has had %s with fence %d",
+					time.Since(cl.started), by, u.server.Name, g.Range, g.Fence, name, x.KeyRange, x.fence))
+			}
+		}
+	}
+}
+
 // recordFence records the highest fence of a range.
 func (u *upstream) recordFence(r pimento.KeyRange, fence uint64) {
 	u.fences = slices.DeleteFunc(u.fences, func(g grant) bool {
--- a/scheduler/bar_test.go
+++ b/scheduler/bar_test.go
@@ -12,7 +12,7 @@
 // barredPool returns a pool with upstreams a and b, with one slot each; with keys, a owns
 // all of them.
 func barredPool(keyed bool) *Pool {
-	p := New(Config{Keyed: keyed, LimitShare: 1, RetrySlack: 10, RetryWindow: 10 * time.Second})
+	p := New(Config{Keyed: keyed, RetrySlack: 10, RetryWindow: 10 * time.Second})
 	p.SetUpstreams([]Upstream{
 		{Server: pimento.Server{Name: "a", Slots: 1, Started: time.UnixMilli(5)}, Usable: true},
 		{Server: pimento.Server{Name: "b", Slots: 1, Started: time.UnixMilli(6)}, Usable: true},
@@ -133,6 +133,8 @@
 func TestBarUsesNoRetry(t *testing.T) {
 	is := is.New(t)
 	p, now := barredPool(true), time.Unix(1, 0)
+	p.budget.advance(now)
+	now = now.Add(p.config.RetryWindow) // then the fixed allowance may be used
 	for id := range uint64(100) {
 		barred := ticketAt(now, id, 4*time.Second)
 		barred.Retry, barred.Barred = true, []Bar{barOf(now, "a", 5, time.Minute)}
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -39,17 +39,18 @@
 // Config is the configuration of a pool.
 type Config struct {
 	Keyed bool
-	// Rank is the position of this process in the pool's preference list. The
-	// backups may act while the dispatcher still does, so they use lower rates.
-	Rank int
+	// Share is the part of what all processes together may send that this one may use
+	// (see [Share]); zero: all of it.
+	Share float64
+	// Phase, from 0 to 1, places this process in the interval between two sends, so that
+	// processes with the same part do not all send at the same moment.
+	Phase float64
 	// RetryRatio, RetrySlack and RetryWindow bound the retries of the service.
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
 	// ColdRate is how many requests a second a cold upstream can handle.
 	ColdRate float64
-	// LimitShare is the part of the limit of an upstream that this process may use.
-	LimitShare float64
 }
 
 // Ticket is a request that asks for a permit.
@@ -111,7 +112,8 @@
 	cold             cold
 	pacer            limiter.Pacer
 	hostSlowness     hostSlowness
-	onTime           rate // requests for its keys that meet their goal
+	onTime           rate      // requests for its keys that meet their goal
+	measuredAt       time.Time // when a request last began or ended there
 }
 
 // activeRequest is a request that has a permit.
@@ -143,13 +145,13 @@
 
 // New returns a pool without upstreams.
 func New(config Config) *Pool {
-	return &Pool{
-		config:       config,
+	p := &Pool{
 		upstreams:    make(map[pimento.UpstreamName]*upstream),
 		running:      make(map[uint64]*activeRequest),
 		serviceTimes: make(map[pimento.RouteName]*serviceTime),
-		budget:       budget{ratio: config.RetryRatio, slack: config.RetrySlack, window: config.RetryWindow},
 	}
+	p.SetConfig(config)
+	return p
 }
 
 // SetUpstreams replaces the known state of the upstreams. Measurements are kept
@@ -187,14 +189,14 @@
 // SetOwners replaces the owners of the keys, which must be sorted by range.
 func (p *Pool) SetOwners(owners []Owner) { p.owners = owners }
 
-// SetRank sets the position of this process in the pool's preference list.
-func (p *Pool) SetRank(rank int) { p.config.Rank = rank }
-
-// SetConfig replaces the configuration except the rank.
+// SetConfig replaces the configuration.
 func (p *Pool) SetConfig(config Config) {
-	config.Rank = p.config.Rank
+	if config.Share == 0 {
+		config.Share = 1
+	}
 	p.config = config
-	p.budget.ratio, p.budget.slack, p.budget.window = config.RetryRatio, config.RetrySlack, config.RetryWindow
+	p.budget.ratio, p.budget.window = config.RetryRatio, config.RetryWindow
+	p.budget.setSlack(config.RetrySlack*config.Share/totalShare, config.RetrySlack*outsidersShare/totalShare)
 }
 
 // Offer adds a request and returns the decisions that follow.
@@ -205,8 +207,8 @@
 	switch {
 	case t.Again:
 	case t.Retry:
-		if !p.budget.allowRetry(now, p.config.Rank) {
-			return []Decision{{Ticket: t.ID, Refusal: pimento.NotRun(pimento.ReasonRetryBudget, "the repeats of this service are used up")}}
+		if !p.budget.allows(now, p.waitingRetries()+1) {
+			return []Decision{{Ticket: t.ID, Refusal: retryRefusal()}}
 		}
 	default:
 		p.budget.recordRequest(now)
@@ -218,6 +220,25 @@
 	return p.dispatch(now)
 }
 
+// countsAsRetry reports whether a ticket uses the retry budget when it is sent.
+func (t *Ticket) countsAsRetry() bool { return t.Retry && !t.Again }
+
+// waitingRetries returns how many retries wait: they use the budget when they are sent.
+func (p *Pool) waitingRetries() int {
+	n := 0
+	for _, t := range p.waiting {
+		if t.countsAsRetry() {
+			n++
+		}
+	}
+	return n
+}
+
+// retryRefusal returns the refusal of a retry for which there is no budget.
+func retryRefusal() *pimento.OutcomeError {
+	return pimento.NotRun(pimento.ReasonRetryBudget, "the repeats of this service are used up")
+}
+
 // Cancel removes a request whose caller no longer waits for it.
 func (p *Pool) Cancel(now time.Time, id uint64) []Decision {
 	for i, t := range p.waiting {
@@ -264,6 +285,7 @@
 // start records that a request is sent to an upstream.
 func (p *Pool) start(now time.Time, t *Ticket, u *upstream) {
 	r := &activeRequest{ticket: *t, upstream: u, startedAt: now, hostSlowness: u.hostSlowness.value(now)}
+	u.beginMeasuring(now)
 	p.running[t.ID] = r
 	u.running[t.ID] = r
 	u.cold.recordSend(now)
