Let new grants to an upstream not go before renewals that are due sooner

What callers saw: requests on added routes, which go to the keyed service, were not served while keys of lost upstreams moved; the upstreams that got them lost keys of their own, though they answered.

Cause: grants to one upstream go out in the order in which its keys lapse. Keys that it does not have yet have no such time, zero, which is before all: every new grant of a plan went before every renewal, however little was left of its hold.

Evidence: TestNewGrantsLetHeldKeysLapse failed in two of five cases (3 of 10 and 7 of 20 ranges that were held lapsed); four grants at once suffice for all of them.

Change: a new grant is due three quarters of a hold after it was queued, and while one waits up to four go out at once, as before.

Result: the test passes, TestGrantsOfManyRangesAreRenewed and the tests of unsent grants too.

--- a/leader/grants.go
+++ b/leader/grants.go
@@ -24,6 +24,9 @@
 	// urgentHoldShare is the share of a hold below which what is left of one makes its
 	// renewal urgent.
 	urgentHoldShare = 0.5
+	// newGrantShare is the share of a hold within which a holder is to get keys that it
+	// does not have yet. Renewals that are due before go first.
+	newGrantShare = 0.75
 	// probeInterval is the pause after a failed probe of a lost upstream.
 	probeInterval = 350 * time.Millisecond
 )
@@ -40,12 +43,16 @@
 type queuedGrant struct {
 	call     keeper.Call
 	queuedAt time.Time
+	dueAt    time.Time // when the holder's keys lapse, or when it is to get new ones
 }
 
-// addGrant queues a grant before those of keys that lapse later.
+// isNew reports whether the holder does not have the keys yet.
+func (g queuedGrant) isNew() bool { return g.call.ValidUntil.IsZero() }
+
+// addGrant queues a grant before those that are due later.
 func (q *queue) addGrant(g queuedGrant) {
 	i, _ := slices.BinarySearchFunc(q.grants, g, func(x, g queuedGrant) int {
-		if x.call.ValidUntil.After(g.call.ValidUntil) {
+		if x.dueAt.After(g.dueAt) {
 			return 1
 		}
 		return -1
@@ -54,15 +61,18 @@
 }
 
 // mayGrant reports whether the first grant may be sent now: alone, or beside others if
-// the holder would not have its keys for long.
+// the holder would not have its keys for long, or waits for new ones.
 func (q *queue) mayGrant(now time.Time, hold time.Duration) bool {
 	if len(q.grants) == 0 || q.granting >= maxConcurrentGrants {
 		return false
 	}
-	left := q.grants[0].call.ValidUntil.Sub(now)
-	return q.granting == 0 || left < time.Duration(urgentHoldShare*float64(hold))
+	left := q.grants[0].dueAt.Sub(now)
+	return q.granting == 0 || left < share(urgentHoldShare, hold) || slices.ContainsFunc(q.grants, queuedGrant.isNew)
 }
 
+// share returns a part of a time.
+func share(part float64, d time.Duration) time.Duration { return time.Duration(part * float64(d)) }
+
 // enqueueCall queues a call that the keeper requested.
 func (l *Leader) enqueueCall(c keeper.Call) {
 	q, ok := l.term.queues[c.Run.Upstream]
@@ -71,7 +81,11 @@
 		l.term.queues[c.Run.Upstream] = q
 	}
 	if c.Kind == keeper.CallGrant {
-		q.addGrant(queuedGrant{call: c, queuedAt: timekeeper.Now()})
+		g := queuedGrant{call: c, queuedAt: timekeeper.Now(), dueAt: c.ValidUntil}
+		if g.isNew() {
+			g.dueAt = g.queuedAt.Add(share(newGrantShare, l.KeeperTiming.Hold))
+		}
+		q.addGrant(g)
 	} else {
 		q.releases = append(q.releases, c)
 	}
