Wait on for a manifest that is known to exist and is being decoded

What callers saw: 'a change that had been confirmed was not in force in time': a request went to the former service of its route, on a process that had already read the change.

Cause: a request with a route waits for half of its time until the manifest is confirmed, and then goes on by what is known. That holds while nobody knows better; here the read had been answered with another manifest, which was being decoded.

Evidence: TestRequestIsSentByAManifestKnownToBeOld failed with a time limit of 500 ms (108 KB on 10 Mbit/s, 180 ms to decode): sent to the former service 2 s after the change.

Change: while such a manifest is being decoded the request waits on, until its deadline at most.

--- a/router/confirmer.go
+++ b/router/confirmer.go
@@ -42,6 +42,9 @@
 	cancel context.CancelFunc
 
 	confirmedAt atomic.Int64 // Unix nanoseconds of timekeeper; zero: never
+	// adopting is the number of reads that have shown another manifest, which is decoded
+	// now.
+	adopting atomic.Int32
 
 	mu       sync.Mutex
 	reading  chan struct{} // closed at the end of the read in progress; nil: there is none
@@ -192,7 +195,9 @@
 		case <-c.ctx.Done():
 			return forwarder.Undecided, p.retryAfter
 		case <-timer.C:
-			return c.endWait(arrived)
+			if c.adopting.Load() == 0 {
+				return c.endWait(arrived)
+			} // the manifest in force is known to be old, and the read ends soon
 		}
 	}
 }
--- a/router/manifest.go
+++ b/router/manifest.go
@@ -135,7 +135,9 @@
 	}
 	f.router.leader.StoreAnswered(beganAt)
 	if value != nil && !f.isInForce(value) {
+		f.confirmer.adopting.Add(1)
 		f.adoptManifest(value, manifestOrigin{From: originStore, Revision: revision})
+		f.confirmer.adopting.Add(-1)
 	}
 	f.mu.Lock()
 	f.manifestReadAt = began
