--- a/elector/machine.go
+++ b/elector/machine.go
@@ -252,10 +252,10 @@
 }
 
 // HasLeader reports whether this process receives heartbeats from a leader that
-// reaches the store. A leader that lost the store counts for followerReadDelay,
+// reaches the store. A leader that lost the store counts for storeLossPatience,
 // since another one may replace it within that time.
 func (m *Machine) HasLeader(now time.Time) bool {
-	storeLost := !m.storeLostSince.IsZero() && now.Sub(m.storeLostSince) > followerReadDelay
+	storeLost := !m.storeLostSince.IsZero() && now.Sub(m.storeLostSince) > storeLossPatience
 	return m.term.Leader != "" && !m.IsLeader() && !storeLost && now.Sub(m.contactAt) < 3*m.timing.HeartbeatInterval
 }
 
@@ -265,9 +265,9 @@
 	return m.HasLeader(now) && m.storeLostSince.IsZero()
 }
 
-// followerReadDelay is how long a leader may be unable to reach the store before
-// its followers read the store themselves.
-const followerReadDelay = 2500 * time.Millisecond
+// storeLossPatience is how long a leader may be unable to reach the store before its
+// followers count it as lost.
+const storeLossPatience = 2500 * time.Millisecond
 
 // hasNoLeader reports whether no leader is known, or it has been silent or unable
 // to reach the store for longer than the given times. A process that leads has none
--- a/event.go
+++ b/event.go
@@ -33,6 +33,7 @@
 	EventStoreRestored   EventNumber = 2020
 	EventStoreRepaired   EventNumber = 2021
 	EventCopyTaken       EventNumber = 2022
+	EventUpstreamsRead   EventNumber = 2023
 	EventUpstreamLost    EventNumber = 5001
 	EventUpstreamBack    EventNumber = 5002
 	EventRecordsLost     EventNumber = 5004
@@ -84,6 +85,7 @@
 	EventStoreRestored:   "platform was restored from a copy",
 	EventStoreRepaired:   "the leader has written its assignment again",
 	EventCopyTaken:       "process leads from a copy of the assignment",
+	EventUpstreamsRead:   "process reads the upstreams itself",
 	EventUpstreamLost:    "upstream lost",
 	EventUpstreamBack:    "upstream answers again",
 	EventRecordsLost:     "request records may be lost",
--- a/leader/cluster_test.go
+++ b/leader/cluster_test.go
@@ -68,6 +68,7 @@
 	mu             sync.Mutex
 	versions       messenger.Versions
 	upstreamStates map[pimento.UpstreamName]pimento.State // as received from the leader
+	upstreamsAt    time.Time                              // as of when the leader confirms them
 	limits         limiter.Book                           // as received from the leader
 	quarantine     *quarantiner.Machine
 	roster         *messenger.Roster // as received from the leader
@@ -598,6 +599,15 @@
 // ManifestConfirmed implements Member.
 func (simMember) ManifestConfirmed(ManifestRead) {}
 
+// UpstreamsConfirmed implements Member.
+func (m simMember) UpstreamsConfirmed(r UpstreamsRead) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if v := m.versions; r.Epoch == v.Epoch && r.Version <= v.Upstreams && r.BeganAt.After(m.upstreamsAt) {
+		m.upstreamsAt = r.BeganAt
+	}
+}
+
 // Announced implements Member.
 func (simMember) Announced(messenger.Versions) {}
 
--- a/leader/confirmation_test.go
+++ b/leader/confirmation_test.go
@@ -135,3 +135,65 @@
 	(<-p.leader.inbox)()
 	is.Equal(len(p.manifest.confirmed), 1)
 }
+
+// TestUpstreamsConfirmation checks what a leader says of its reads of the upstreams, and
+// that a member dates them no later than they were.
+func TestUpstreamsConfirmation(t *testing.T) {
+	const ms = time.Millisecond
+	for _, c := range []struct {
+		name          string
+		read          bool
+		outAge        time.Duration // of what the leader knows of the failure domains
+		noStamp       bool
+		formerProcess bool
+		accepted      bool
+	}{
+		{name: "read", read: true, outAge: 3 * time.Second, accepted: true},
+		{name: "no read in this term", outAge: time.Second},
+		{name: "the failure domains were not read of late", read: true, outAge: 4 * time.Second},
+		{name: "the member has sent no stamp", read: true, noStamp: true},
+		{name: "the process has been restarted", read: true, formerProcess: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				restore := timekeeper.SetClock(time.Now)
+				defer restore()
+				time.Sleep(time.Minute)
+				receiver := &fixedMember{}
+				leader := newPushTest(t).leader
+				follower := &Leader{Member: receiver, stampID: 7}
+				leader.term.upstreams = registry{}
+				registry := &leader.term.upstreams
+				m := &member{}
+				if !c.noStamp {
+					m.noteStamp(timekeeper.Now(), follower.stamp())
+				}
+				time.Sleep(100 * ms)
+				now := timekeeper.Now()
+				if c.read {
+					registry.applyList(now, now.Add(-30*ms), []pimento.Server{entry("a", "10.0.0.1:1", now)})
+					registry.setOut(now, 1, nil, nil)
+				}
+				registry.outReadAt = now.Add(-c.outAge)
+				if c.formerProcess {
+					follower.stampID = 8
+				}
+				q := leader.upstreamsConfirmation(now, m)
+				is.Equal(q != nil, c.read && !c.noStamp && c.outAge < maxOutAge)
+				follower.handleUpstreamsConfirmation(3, q)
+				is.Equal(len(receiver.confirmedUpstreams) == 1, c.accepted)
+				if !c.accepted {
+					return
+				}
+				got := receiver.confirmedUpstreams[0]
+				is.Equal(got.Epoch, uint64(3))
+				is.Equal(got.Version, uint64(1))
+				is.Equal(got.Era, uint64(1))
+				if early := now.Add(-30 * ms).Sub(got.BeganAt); early < 0 || early > 10*ms {
+					t.Errorf("dated %s before the read", early)
+				}
+			})
+		})
+	}
+}
--- a/leader/heartbeat.go
+++ b/leader/heartbeat.go
@@ -98,7 +98,10 @@
 // sendHeartbeat sends one heartbeat and handles its reply.
 func (l *Leader) sendHeartbeat(m *member) {
 	t := l.term
-	q := &messenger.Heartbeat{Term: l.elector.Term(), StoreLost: !l.StoreReachable(), Versions: t.versions, Era: l.storeEra.Load(), Confirmation: l.confirmation(m)}
+	q := &messenger.Heartbeat{
+		Term: l.elector.Term(), StoreLost: !l.StoreReachable(), Versions: t.versions, Era: l.storeEra.Load(),
+		Confirmation: l.confirmation(m), Upstreams: l.upstreamsConfirmation(timekeeper.Now(), m),
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(t.ctx, heartbeatTimeout)
 		defer cancel()
@@ -172,6 +175,7 @@
 		confirmed := l.elector.HandleHeartbeat(now, elector.Heartbeat{From: from, Term: q.Term, StoreLost: q.StoreLost})
 		if confirmed {
 			l.Member.Announced(q.Versions)
+			l.handleUpstreamsConfirmation(q.Term.Epoch, q.Upstreams)
 		}
 		answer := &messenger.HeartbeatReply{
 			Epoch: l.elector.Term().Epoch, Confirmed: confirmed, Leaving: l.leaving.Load(),
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -88,6 +88,9 @@
 	// ManifestConfirmed is called with a read by the leader, dated by the clock of this
 	// process.
 	ManifestConfirmed(r ManifestRead)
+	// UpstreamsConfirmed is called with a read by the leader, dated by the clock of this
+	// process.
+	UpstreamsConfirmed(r UpstreamsRead)
 	// Report returns the measurements since the last report.
 	Report() messenger.Report
 	// Versions returns the versions of the state that this process has.
--- /dev/null
+++ b/leader/ownlist.go
@@ -0,0 +1,66 @@
+package leader
+
+import (
+	"time"
+
+	"pimentorelay.example/pimento"
+)
+
+// OwnList is the upstreams and the failure domains out of service that a process which
+// does not lead reads itself. It treats what it reads as a leader does: entries that
+// lapsed in an outage of the store are kept for a while, and the upstreams of a domain
+// that returns are cold. Times are those of timekeeper. It is not safe for concurrent use.
+type OwnList struct{ registry registry }
+
+// NewOwnList returns a list that begins with what a leader sent, which is known to be
+// the newest as of readAt; zero: nothing is known. cold returns how long the upstreams
+// of a service are cold after the return of their domain.
+func NewOwnList(readAt time.Time, era uint64, servers []pimento.Server, out []pimento.DomainName, cold func(pimento.ServiceName) time.Duration) *OwnList {
+	o := &OwnList{}
+	o.registry.era, o.registry.coldFor = era, cold
+	if readAt.IsZero() {
+		return o
+	}
+	o.registry.applyList(readAt, readAt, servers)
+	o.registry.setOut(readAt, era, out, cold)
+	o.MarkLeaving(servers)
+	return o
+}
+
+// Apply applies a reading of the upstreams that began at beganAt.
+func (o *OwnList) Apply(now, beganAt time.Time, era uint64, servers []pimento.Server) {
+	o.registry.enterEra(now, era)
+	o.registry.applyList(now, beganAt, servers)
+}
+
+// SetOut replaces the failure domains out of service by a reading that began at beganAt.
+func (o *OwnList) SetOut(now, beganAt time.Time, era uint64, out []pimento.DomainName) {
+	o.registry.setOut(now, era, out, o.registry.coldFor)
+	o.registry.outReadAt = beganAt
+}
+
+// MarkLeaving keeps those of the servers that leave from being used, whatever the store
+// says, until they start anew.
+func (o *OwnList) MarkLeaving(servers []pimento.Server) {
+	for _, s := range servers {
+		if s.State == pimento.StateLeaving {
+			o.registry.markLeaving(pimento.Run{Upstream: s.Name, Started: s.Started})
+		}
+	}
+}
+
+// Complete reports whether both the upstreams and the failure domains are known.
+func (o *OwnList) Complete() bool { return o.registry.version > 0 }
+
+// ReadAt returns when the last reading of the upstreams began.
+func (o *OwnList) ReadAt() time.Time { return o.registry.readBeganAt }
+
+// OutReadAt returns when the last reading of the failure domains began; zero: there was
+// none.
+func (o *OwnList) OutReadAt() time.Time { return o.registry.outReadAt }
+
+// Servers returns the upstreams, sorted by name.
+func (o *OwnList) Servers() []pimento.Server { return o.registry.list() }
+
+// Out returns the failure domains out of service.
+func (o *OwnList) Out() []pimento.DomainName { return o.registry.outDomains }
--- a/leader/push.go
+++ b/leader/push.go
@@ -68,6 +68,9 @@
 		t.selfSnapshot = l.snapshot(state, t.selfSnapshot)
 	}
 	now := timekeeper.Now()
+	if read, ok := l.upstreamsRead(now); ok {
+		l.Member.UpstreamsConfirmed(read)
+	}
 	for _, m := range t.members {
 		if m.pushing || m.unconfirmed || m.missedHeartbeats > 0 || m.silent(now) {
 			continue
--- a/leader/push_test.go
+++ b/leader/push_test.go
@@ -104,6 +104,8 @@
 	encoded   []byte
 	read      ManifestRead   // its last one
 	confirmed []ManifestRead // those that it was told of
+
+	confirmedUpstreams []UpstreamsRead
 }
 
 func (m *fixedMember) Apply(*messenger.State)   {}
@@ -114,8 +116,11 @@
 func (m *fixedMember) ManifestReadAt() time.Time        { return time.Time{} }
 func (m *fixedMember) ManifestRead() ManifestRead       { return m.read }
 func (m *fixedMember) ManifestConfirmed(r ManifestRead) { m.confirmed = append(m.confirmed, r) }
-func (m *fixedMember) Announced(messenger.Versions)     {}
-func (m *fixedMember) Versions() messenger.Versions     { return messenger.Versions{Manifest: m.version} }
+func (m *fixedMember) UpstreamsConfirmed(r UpstreamsRead) {
+	m.confirmedUpstreams = append(m.confirmedUpstreams, r)
+}
+func (m *fixedMember) Announced(messenger.Versions) {}
+func (m *fixedMember) Versions() messenger.Versions { return messenger.Versions{Manifest: m.version} }
 func (m *fixedMember) Manifest() (*pimento.Manifest, []byte) {
 	return &pimento.Manifest{Version: m.version}, m.encoded
 }
--- a/leader/registry.go
+++ b/leader/registry.go
@@ -46,7 +46,9 @@
 	gone           map[pimento.UpstreamName]time.Time   // starts of the runs whose entries were removed
 	toldLeaving    map[pimento.UpstreamName]pimento.Run // whose answers say that they leave
 	era            uint64                               // of the store, as of the last reading
+	readBeganAt    time.Time                            // of the last reading of the upstreams
 	readAt         time.Time
+	outReadAt      time.Time // as of when outDomains are known
 	graceUntil     time.Time
 	restoredUntil  time.Time // until then the store may show entries of before
 	version        uint64
@@ -99,7 +101,7 @@
 	if !r.readAt.IsZero() && startedAt.Sub(r.readAt) > storeOutageThreshold {
 		r.graceUntil = now.Add(lapsedEntryGrace)
 	}
-	r.readAt = now
+	r.readAt, r.readBeganAt = now, startedAt
 	next := make(map[pimento.UpstreamName]pimento.Server, len(list))
 	addresses := make(map[string]bool, len(list))
 	for _, s := range list {
@@ -302,9 +304,12 @@
 		backoff.Reset()
 		after = revision
 		l.StoreAnswered(beganAt)
-		if changed {
-			l.postTerm(t, func() { t.upstreams.setOut(timekeeper.Now(), l.storeEra.Load(), out, l.coldFor) })
-		}
+		l.postTerm(t, func() {
+			t.upstreams.outReadAt = beganAt // the watch would have shown what was written before
+			if changed {
+				t.upstreams.setOut(timekeeper.Now(), l.storeEra.Load(), out, l.coldFor)
+			}
+		})
 	}
 }
 
--- a/messenger/state.go
+++ b/messenger/state.go
@@ -17,6 +17,9 @@
 	Era       uint64 `cbor:",omitempty"` // of the store, as far as the leader knows
 	// Confirmation dates the leader's last read of the manifest; nil: it has none.
 	Confirmation *Confirmation `cbor:",omitempty"`
+	// Upstreams dates its last read of the upstreams; nil: it has none, or is a process
+	// of an older version.
+	Upstreams *Confirmation `cbor:",omitempty"`
 }
 
 // Versions are the versions of the parts of the state; a higher one is newer. The
--- a/router/confirmer.go
+++ b/router/confirmer.go
@@ -98,12 +98,18 @@
 		c.lastRead = r
 	}
 	took := timekeeper.Now().Sub(r.BeganAt)
-	c.timeout = min(max(confirmTimeout, 2*took), maxConfirmTimeout)
+	c.timeout = nextTimeout(took)
 	c.failures, c.nextAt = 0, time.Time{}
 	c.backoff.Reset()
 	c.confirm(r.BeganAt)
 }
 
+// nextTimeout returns the timeout of the next read of the store, since the last one took
+// that long.
+func nextTimeout(took time.Duration) time.Duration {
+	return min(max(confirmTimeout, 2*took), maxConfirmTimeout)
+}
+
 // forget lets nothing of before count, since the store was restored from a copy.
 func (c *confirmer) forget() {
 	c.mu.Lock()
--- a/router/follower.go
+++ b/router/follower.go
@@ -12,18 +12,9 @@
 	"pimentorelay.example/pimento"
 	"pimentorelay.example/pimento/admitter"
 	"pimentorelay.example/pimento/forwarder"
+	"pimentorelay.example/pimento/leader"
 	"pimentorelay.example/pimento/messenger"
 	"pimentorelay.example/pimento/scheduler"
-	"pimentorelay.example/pimento/timekeeper"
-)
-
-const (
-	// stateReadInterval is the time between two reads of the state by a process
-	// without a leader.
-	stateReadInterval = 500 * time.Millisecond
-	// maxStateLag is how long the leader may announce upstreams that do not arrive
-	// before a process reads them itself.
-	maxStateLag = 800 * time.Millisecond
 )
 
 // follower holds what this process knows of the shared state.
@@ -45,11 +36,17 @@
 	manifestReadAt   time.Time // when the last answered read of the manifest in the store began
 	vouchedAt        time.Time // when the leader last announced no newer manifest
 	roster           *messenger.Roster
-	upstreams        map[pimento.UpstreamName]pimento.Server
-	domainsOut       []pimento.DomainName // that get no work
 	owners           map[pimento.ServiceName][]scheduler.Owner
-	readFromStore    bool      // upstreams were read from the store
-	behindSince      time.Time // since when announced upstreams have not arrived; zero: they have
+
+	upstreams     map[pimento.UpstreamName]pimento.Server // in force
+	domainsOut    []pimento.DomainName                    // that get no work
+	sent          sentUpstreams                           // versions.Upstreams is the version
+	own           *leader.OwnList                         // in force instead of sent; nil: sent is in force
+	confirmed     leader.UpstreamsRead                    // the last that the leader has told of
+	upstreamsAt   time.Time                               // when those in force were certainly the newest, on the clock of timekeeper; zero: never
+	upstreamsEra  uint64                                  // of the store then
+	upstreamsDue  time.Time                               // when to read them, unless the leader confirms them before
+	readFromStore bool                                    // upstreams were read from the store
 }
 
 // Versions implements leader.Member.
@@ -102,7 +99,7 @@
 	if list := s.Upstreams; list != nil && mayApply(f.versions.Upstreams, s.Versions.Upstreams, list.Whole) {
 		f.updateUpstreams(now, list)
 		f.versions.Upstreams = s.Versions.Upstreams
-		f.behindSince = time.Time{}
+		f.applyConfirmation()
 	}
 	if list := s.Owners; list != nil && mayApply(f.versions.Owners, s.Versions.Owners, list.Whole) {
 		f.updateOwners(now, list)
@@ -145,23 +142,6 @@
 	return n
 }
 
-// updateUpstreams applies changes of the upstreams, or replaces them all if the
-// list is whole. The caller holds mu.
-func (f *follower) updateUpstreams(now time.Time, list *messenger.UpstreamList) {
-	if list.Whole || f.upstreams == nil {
-		f.upstreams = make(map[pimento.UpstreamName]pimento.Server)
-	}
-	for _, u := range list.Upstreams {
-		s := u.Server
-		s.WarmAt = now.Add(u.ColdFor)
-		f.upstreams[s.Name] = s
-	}
-	for _, name := range list.Gone {
-		delete(f.upstreams, name)
-	}
-	f.domainsOut = list.Out
-}
-
 // listUpstreams returns all upstreams, marking those that take new work. The
 // caller holds mu.
 func (f *follower) listUpstreams() []scheduler.Upstream {
@@ -250,72 +230,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// pollState reads the state from the store while no leader sends it, or what it
-// announces does not arrive.
-func (f *follower) pollState(ctx context.Context) error {
-	pause := stateReadInterval
-	backoff := timekeeper.Backoff{Initial: stateReadInterval, Max: maxStoreRetry}
-	for ctx.Err() == nil {
-		sleep(ctx, pause)
-		pause = stateReadInterval
-		if f.router.leader.HasLeader() && !f.isBehind() {
-			continue
-		}
-		if err := f.readState(ctx); err != nil { // reported through ObserveStoreCall
-			pause = backoff.Pause()
-			continue
-		}
-		backoff.Reset()
-	}
-	return ctx.Err()
-}
-
-// isBehind reports whether the leader has announced upstreams for longer than
-// maxStateLag that have not arrived.
-func (f *follower) isBehind() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return !f.behindSince.IsZero() && time.Since(f.behindSince) > maxStateLag
-}
-
-// noteAnnouncedUpstreams notes whether the leader has newer upstreams than those
-// that have arrived. The caller holds mu.
-func (f *follower) noteAnnouncedUpstreams(v messenger.Versions) {
-	behind := v.Epoch > f.versions.Epoch || v.Epoch == f.versions.Epoch && v.Upstreams > f.versions.Upstreams
-	switch {
-	case !behind:
-		f.behindSince = time.Time{}
-	case f.behindSince.IsZero():
-		f.behindSince = time.Now()
-	}
-}
-
-// readState reads upstreams and failure domains from the store. The owners last
-// sent by a leader are kept: an upstream refuses keys that it does not hold.
-func (f *follower) readState(ctx context.Context) error {
-	servers, err := f.router.Source.Upstreams(ctx)
-	if err != nil {
-		return err
-	}
-	out, _, _, err := f.router.Source.DomainsOut(ctx, pimento.Revision{}, 0)
-	if err != nil {
-		return err
-	}
-	now := timekeeper.Now()
-	f.router.leader.StoreAnswered(now)
-	list := &messenger.UpstreamList{Out: out}
-	for _, s := range servers {
-		u := messenger.Upstream{Server: s, ColdFor: max(0, s.WarmAt.Sub(now))}
-		list.Upstreams = append(list.Upstreams, u)
-	}
-	f.mu.Lock()
-	list.Whole = true
-	f.updateUpstreams(time.Now(), list)
-	f.versions.Upstreams = 0
-	f.readFromStore, f.behindSince = true, time.Time{}
-	snapshot := f.snapshot()
-	f.mu.Unlock()
-	f.router.admitter.Update(snapshot)
-	return nil
-}
--- a/router/manifest.go
+++ b/router/manifest.go
@@ -215,7 +215,6 @@
 func (f *follower) Announced(v messenger.Versions) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.noteAnnouncedUpstreams(v)
 	if v.Manifest <= f.versions.Manifest {
 		f.vouchedAt = time.Now()
 	}
--- a/router/manifest_test.go
+++ b/router/manifest_test.go
@@ -163,6 +163,35 @@
 	epoch   atomic.Uint64
 
 	upstreams atomic.Uint64 // version that it announces
+	lostAt    atomic.Int64  // when its reads of the upstreams ended, in Unix nanoseconds; zero: they go on
+
+	mu        sync.Mutex
+	stamp     *messenger.Stamp // in the last reply to a heartbeat
+	stampedAt time.Time        // when that came
+}
+
+// readInterval is the time between the reads of the upstreams by a leader.
+const readInterval = 400 * time.Millisecond
+
+// confirmation dates its last read of the upstreams; nil: it has no stamp yet.
+func (l *fakeLeader) confirmation() *messenger.Confirmation {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.stamp == nil {
+		return nil
+	}
+	readAt := time.Now().Add(-readInterval)
+	if at := l.lostAt.Load(); at > 0 {
+		readAt = time.Unix(0, at)
+	}
+	return &messenger.Confirmation{Stamp: *l.stamp, Later: readAt.Sub(l.stampedAt), Version: l.upstreams.Load()}
+}
+
+// noteReply notes the stamp in the reply to a heartbeat.
+func (l *fakeLeader) noteReply(m *messenger.Message) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stamp, l.stampedAt = m.HeartbeatReply.Stamp, time.Now()
 }
 
 // run sends heartbeats until ctx ends.
@@ -172,8 +201,9 @@
 			q := &messenger.Heartbeat{
 				Term:      pimento.Term{Epoch: l.epoch.Load(), Leader: "leader", Confirmers: []pimento.ProcessID{"leader"}},
 				StoreLost: l.lost.Load(), Versions: messenger.Versions{Epoch: l.epoch.Load(), Upstreams: l.upstreams.Load(), Manifest: l.version.Load()},
+				Upstreams: l.confirmation(),
 			}
-			l.router.leader.HandleHeartbeat("leader", q, func(*messenger.Message) {})
+			l.router.leader.HandleHeartbeat("leader", q, l.noteReply)
 		}
 		sleep(ctx, 200*time.Millisecond)
 	}
@@ -371,14 +401,18 @@
 	}
 }
 
-// upstreamStore is a source with one upstream, which is leaving.
+// upstreamStore is a source with one upstream, which is leaving unless it stays.
 type upstreamStore struct {
 	manifestStore
 	reads atomic.Int32
+	stays atomic.Bool
 }
 
 // Upstreams implements pimento.Source.
 func (s *upstreamStore) Upstreams(context.Context) ([]pimento.Server, error) {
 	s.reads.Add(1)
+	if s.stays.Load() {
+		return []pimento.Server{{Name: "u1", State: pimento.StateArriving}}, nil
+	}
 	return []pimento.Server{{Name: "u1", State: pimento.StateLeaving}}, nil
 }
--- a/router/operators.go
+++ b/router/operators.go
@@ -42,6 +42,7 @@
 		"relay_manifest_announced": func() float64 { return float64(r.follower.announcedVersion()) },
 		"relay_manifest_read_age":  func() float64 { return ageSeconds(time.Now(), r.follower.ManifestReadAt()) },
 		"relay_manifest_age":       func() float64 { return ageSeconds(timekeeper.Now(), r.follower.confirmer.at()) },
+		"relay_upstreams_age":      func() float64 { return ageSeconds(timekeeper.Now(), r.follower.upstreamsKnownAt()) },
 		"relay_leader_delay":       func() float64 { return r.leader.Delay().Seconds() },
 		"relay_key_ranges":         func() float64 { return float64(r.leader.Ranges()) },
 		"relay_unheld_keys":        func() float64 { return float64(r.follower.unheldKeys()) },
--- a/router/stale_upstreams_test.go
+++ b/router/stale_upstreams_test.go
@@ -26,6 +26,7 @@
 				restore := timekeeper.SetClock(time.Now)
 				defer restore()
 				source := &upstreamStore{}
+				source.stays.Store(true)
 				l := &fakeLeader{}
 				l.upstreams.Store(1)
 				r, tasks, stop := startFollower(t, l, source, &busyStore{}, (*follower).pollState)
@@ -33,6 +34,11 @@
 				time.Sleep(300 * time.Millisecond)
 				l.pushUpstreams(1, pimento.StateArriving)
 				time.Sleep(3 * time.Second)
+				if state := stateOf(r); state != pimento.StateArriving {
+					t.Fatalf("before the loss the upstream is %s", state)
+				}
+				source.stays.Store(false)
+				l.lostAt.Store(time.Now().UnixNano())
 				tasks.Go(func() {
 					time.Sleep(noticed)
 					l.lost.Store(true)
@@ -43,13 +49,16 @@
 					l.epoch.Store(2)
 					l.lost.Store(false)
 					time.Sleep(250 * time.Millisecond) // a heartbeat
+					l.lostAt.Store(0)
 					l.pushUpstreams(1, pimento.StateLeaving)
 				})
 				start := time.Now()
 				for time.Since(start) < 6*time.Second && stateOf(r) != pimento.StateLeaving {
 					time.Sleep(10 * time.Millisecond)
 				}
-				if took := time.Since(start); took > r.Bounds.Leaving {
+				took := time.Since(start)
+				t.Logf("known after %s", took)
+				if took > r.Bounds.Leaving {
 					t.Errorf("the upstream is known to leave after %s, allowed %s", took, r.Bounds.Leaving)
 				}
 			})
