--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -122,6 +122,7 @@
 	lastTicket uint64
 	limits     limiter.Book
 	avoided    avoider.Book
+	gone       map[quarantiner.Run]goneRun
 	once       sync.Once
 }
 
@@ -165,6 +166,7 @@
 		a.clients = make(map[runKey]*runClient)
 		a.wake = make(chan struct{}, 1)
 		a.state = &Snapshot{}
+		a.gone = make(map[quarantiner.Run]goneRun)
 		a.quarantine = quarantiner.New()
 		a.probes = make(map[quarantiner.Run]time.Time)
 		a.avoided.LeavingDelay = leavingDelay(a.LeavingBound)
@@ -180,8 +182,10 @@
 		a.mu.Unlock()
 		return
 	}
+	before := a.state.Upstreams
 	a.state = next
 	a.observeRuns(now)
+	a.observeGone(now, before)
 	notices := a.avoided.Retain(timekeeper.Now(), next.runs())
 	var callbacks []func()
 	for key, p := range a.pools {
--- a/admitter/notices.go
+++ b/admitter/notices.go
@@ -41,19 +41,20 @@
 }
 
 // checkSend returns the error of a request to an upstream that has told this process that
-// it leaves or wants nothing now, or that takes no new work as far as is known here. It is
+// it leaves or wants nothing now, or that takes no new work or is gone as far as is known
+// here. It is
 // asked right before a request is written, whatever permit that has.
 func (a *Admitter) checkSend(s pimento.Server) error {
 	now := timekeeper.Now()
 	a.mu.Lock()
 	bar, barred := a.avoided.Bar(now, runOf(s))
-	unusable := a.isUnusable(s)
+	unusable := a.isUnusable(s) || a.isGone(s)
 	a.mu.Unlock()
 	if !barred && !unusable {
 		return nil
 	}
 	if bar.Until.IsZero() {
-		out := pimento.NotRun(pimento.ReasonAvoided, fmt.Sprintf("the upstream %s leaves, or its failure domain is out", s.Name))
+		out := pimento.NotRun(pimento.ReasonAvoided, fmt.Sprintf("the upstream %s leaves or is gone, or its failure domain is out", s.Name))
 		out.RetryAfter = leavingRetryAfter
 		return out
 	}
@@ -189,7 +190,7 @@
 
 // barred returns the upstreams to which this process may send nothing now. For an attempt
 // whose permit could not be used, those of its service are among them that take no new
-// work as far as is known here.
+// work or are gone as far as is known here.
 func (a *Admitter) barred(service pimento.ServiceName, again bool) []scheduler.Bar {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -202,7 +203,7 @@
 			out = append(out, scheduler.Bar{Upstream: u.Name, Started: u.Started})
 		}
 	}
-	return out
+	return append(out, a.goneBars(service)...)
 }
 
 // bars returns what answers bar now. The caller holds mu.
--- a/admitter/notices_test.go
+++ b/admitter/notices_test.go
@@ -219,3 +219,64 @@
 	is.True(errors.As(err, &out))
 	is.Equal(out.Outcome, pimento.OutcomeNotRun)
 }
+
+// TestPermitForUpstreamThatIsGone guards against a request that is sent to a run which is
+// not registered any more, as its process knows and the dispatcher does not yet.
+func TestPermitForUpstreamThatIsGone(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		states func(u scheduler.Upstream) [][]scheduler.Upstream // that the process hears of after it got the permit
+		sent   bool
+	}{
+		{"registered", func(u scheduler.Upstream) [][]scheduler.Upstream { return [][]scheduler.Upstream{{u}} }, true},
+		{"gone", func(scheduler.Upstream) [][]scheduler.Upstream { return [][]scheduler.Upstream{nil} }, false},
+		{"gone for some time", func(scheduler.Upstream) [][]scheduler.Upstream { return [][]scheduler.Upstream{nil, nil, nil} }, false},
+		{"has started anew", func(u scheduler.Upstream) [][]scheduler.Upstream {
+			u.Started = u.Started.Add(time.Hour)
+			return [][]scheduler.Upstream{{u}}
+		}, false},
+		{"registered again", func(u scheduler.Upstream) [][]scheduler.Upstream { return [][]scheduler.Upstream{nil, {u}} }, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			n := newNetwork(t)
+			p, _ := n.mustAcquire(t, "b")
+			b := n.nodes["b"]
+			b.mu.Lock()
+			state := *b.state
+			b.mu.Unlock()
+			u := state.Upstreams[0]
+			for _, list := range c.states(u) {
+				next := state
+				next.Upstreams = list
+				b.Update(&next)
+			}
+			isSent := func(err error) bool {
+				var out *pimento.OutcomeError
+				return !errors.As(err, &out) || out.Reason != pimento.ReasonAvoided
+			}
+			is.Equal(isSent(b.checkSend(u.Server)), c.sent)
+			if c.sent {
+				return
+			}
+			_, _, err := p.Serve(t.Context(), request(testTimeout), nil)
+			is.True(!isSent(err))
+			p.Done(err)
+			is.Equal(p.(*permit).result.Kind, scheduler.ResultCanceled)
+			is.Equal(b.barred("s", true), []scheduler.Bar{{Upstream: "u", Started: u.Started}}) // for the next attempt
+		})
+	}
+}
+
+// TestUnknownRunIsNoGoneRun checks that a request is sent to a run that its process does not
+// know yet.
+func TestUnknownRunIsNoGoneRun(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(t)
+	s, _ := n.nodes["b"].server("u")
+	is.NoErr(n.nodes["b"].checkSend(s))
+	s.Started = s.Started.Add(time.Hour)
+	is.NoErr(n.nodes["b"].checkSend(s))
+	s.Name = "new"
+	is.NoErr(n.nodes["b"].checkSend(s))
+}
