leader: begin a term with the upstreams that its process knows

What callers saw: not seen in a record; found by reading. After an outage of the store, requests are refused while upstreams whose entries lapsed are away, keys lose their holders and move, and crashes are counted against upstreams that live.

A term began with an empty registry, and only a leader that had itself read the list before an outage kept what was missing after it. A leader that is elected at the return of the store took all entries that had lapsed for gone.

Change: a term's registry begins with the list in force in its process: upstreams and their starts, what leaves, cold times, domains out, the era, and which runs were removed. It sends nothing before its first reading. What is missing there is kept for lapsedEntryGrace after an outage only, as each process notes it by itself: calls to the store failed between two answers more than storeOutageThreshold apart, where the reads that the leader vouches for count as answers. So a process that is elected later within the grace keeps the same entries, and one that is elected long after the return drops them. An election without an outage makes a gap too, but no call fails in it: what is missing is dropped at the first reading. After a restore from a copy, a new leader holds what is known as long as an old one would. The addresses known let a new leader renew grants before its first reading. goneAt, which nothing read, is removed.

What remains: a process that was cut off from all for long and is elected at once knows old upstreams, and keeps them for the grace.

--- a/leader/campaign.go
+++ b/leader/campaign.go
@@ -53,6 +53,7 @@
 func (l *Leader) listProcesses(ctx context.Context, freshness pimento.Freshness) ([]registeredProcess, error) {
 	list, err := l.Store.List(ctx, KindProcesses, freshness)
 	if err != nil {
+		l.StoreFailed()
 		return nil, fmt.Errorf("Leader.listProcesses: %w", err)
 	}
 	l.recordStoreAnswer()
@@ -84,6 +85,7 @@
 		return storedAssignment{revision: pimento.Revision{Era: missing.Era}}, nil
 	}
 	if err != nil {
+		l.StoreFailed()
 		return storedAssignment{}, fmt.Errorf("Leader.readAssignment: %w", err)
 	}
 	l.recordStoreAnswer()
--- a/leader/cluster_test.go
+++ b/leader/cluster_test.go
@@ -61,17 +61,18 @@
 
 // process is one run of an entry process.
 type process struct {
-	cluster        *cluster
-	leader         *Leader
-	self           pimento.Process
-	cancel         context.CancelFunc
-	mu             sync.Mutex
-	versions       messenger.Versions
-	upstreamStates map[pimento.UpstreamName]pimento.State // as received from the leader
-	upstreamsAt    time.Time                              // as of when the leader confirms them
-	limits         limiter.Book                           // as received from the leader
-	quarantine     *quarantiner.Machine
-	roster         *messenger.Roster // as received from the leader
+	cluster     *cluster
+	leader      *Leader
+	self        pimento.Process
+	cancel      context.CancelFunc
+	mu          sync.Mutex
+	versions    messenger.Versions
+	upstreams   map[pimento.UpstreamName]pimento.Server // as received from the leader
+	domainsOut  []pimento.DomainName                    // as received from the leader
+	upstreamsAt time.Time                               // as of when the leader confirms them
+	limits      limiter.Book                            // as received from the leader
+	quarantine  *quarantiner.Machine
+	roster      *messenger.Roster // as received from the leader
 }
 
 // upstream is a simulated upstream with its grants.
@@ -544,15 +545,18 @@
 	if s.Upstreams == nil {
 		return
 	}
-	if s.Upstreams.Whole || p.upstreamStates == nil {
-		p.upstreamStates = make(map[pimento.UpstreamName]pimento.State)
+	if s.Upstreams.Whole || p.upstreams == nil {
+		p.upstreams = make(map[pimento.UpstreamName]pimento.Server)
 	}
 	for _, u := range s.Upstreams.Upstreams {
-		p.upstreamStates[u.Name] = u.State
+		server := u.Server
+		server.WarmAt = time.Now().Add(u.ColdFor)
+		p.upstreams[u.Name] = server
 	}
 	for _, name := range s.Upstreams.Gone {
-		delete(p.upstreamStates, name)
+		delete(p.upstreams, name)
 	}
+	p.domainsOut = s.Upstreams.Out
 }
 
 // hostsUsing returns the hosts whose processes still regard an upstream as usable.
@@ -561,16 +565,21 @@
 	defer cl.mu.Unlock()
 	var out []pimento.HostName
 	for _, p := range cl.processes {
-		p.mu.Lock()
-		state, ok := p.upstreamStates[name]
-		p.mu.Unlock()
-		if ok && state != pimento.StateLeaving {
+		if p.uses(name) {
 			out = append(out, p.self.Host)
 		}
 	}
 	return out
 }
 
+// uses reports whether a process regards an upstream as usable.
+func (p *process) uses(name pimento.UpstreamName) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.upstreams[name]
+	return ok && s.State != pimento.StateLeaving
+}
+
 // Manifest implements Member.
 func (m simMember) Manifest() (*pimento.Manifest, []byte) {
 	return &pimento.Manifest{Version: 1, Services: []pimento.Service{{Name: simService, Sharing: pimento.SharingKeyed}}}, nil
@@ -608,6 +617,13 @@
 	}
 }
 
+// KnownUpstreams implements Member.
+func (m simMember) KnownUpstreams() KnownUpstreams {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return KnownUpstreams{Servers: slices.Collect(maps.Values(m.upstreams)), Out: m.domainsOut}
+}
+
 // Announced implements Member.
 func (simMember) Announced(messenger.Versions) {}
 
@@ -644,7 +660,7 @@
 	run, told := p.cluster.toldLeaving[p.self.Host]
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if state, known := p.upstreamStates[run.Upstream]; !told || !known || state == pimento.StateLeaving {
+	if s, known := p.upstreams[run.Upstream]; !told || !known || s.State == pimento.StateLeaving {
 		return nil
 	}
 	return []pimento.Run{run}
--- a/leader/confirmation.go
+++ b/leader/confirmation.go
@@ -68,7 +68,9 @@
 		return time.Time{}, false
 	}
 	drift := time.Duration(clockDrift * float64(c.Later.Abs()))
-	return time.Unix(0, c.Stamp.At).Add(c.Later - drift), true
+	at := time.Unix(0, c.Stamp.At).Add(c.Later - drift)
+	l.outages.answered(timekeeper.Now(), at)
+	return at, true
 }
 
 // upstreamsRead returns the leader's last read of the upstreams; false if there is none
--- a/leader/era.go
+++ b/leader/era.go
@@ -15,7 +15,13 @@
 // ObserveEra records the era of the store in an answer, or as another process knows it.
 func (l *Leader) ObserveEra(era uint64) {
 	for known := l.storeEra.Load(); era > known; known = l.storeEra.Load() {
-		if l.storeEra.CompareAndSwap(known, era) && l.OnEra != nil {
+		if !l.storeEra.CompareAndSwap(known, era) {
+			continue
+		}
+		if known > 0 {
+			l.outages.restored(timekeeper.Now())
+		}
+		if l.OnEra != nil {
 			l.OnEra(era, known)
 		}
 	}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -91,6 +91,8 @@
 	// UpstreamsConfirmed is called with a read by the leader, dated by the clock of this
 	// process.
 	UpstreamsConfirmed(r UpstreamsRead)
+	// KnownUpstreams returns the upstreams that are in force here. Nobody modifies them.
+	KnownUpstreams() KnownUpstreams
 	// Report returns the measurements since the last report.
 	Report() messenger.Report
 	// Versions returns the versions of the state that this process has.
@@ -137,6 +139,7 @@
 	latestTerm      atomic.Pointer[pimento.Term]
 	storeAnsweredAt atomic.Int64  // Unix nanoseconds of timekeeper
 	storeEra        atomic.Uint64 // highest era of the store that this process has heard of
+	outages         outages
 
 	// authorityUntil is the end of this process's authority, in Unix nanoseconds.
 	authorityUntil atomic.Int64
@@ -259,6 +262,7 @@
 // StoreAnswered records that the store answered a call that began at a time. The end of a
 // watch says nothing of the time since it began: the store may have turned all others away.
 func (l *Leader) StoreAnswered(beganAt time.Time) {
+	l.outages.answered(timekeeper.Now(), beganAt)
 	at := beganAt.UnixNano()
 	for known := l.storeAnsweredAt.Load(); at > known; known = l.storeAnsweredAt.Load() {
 		if l.storeAnsweredAt.CompareAndSwap(known, at) {
@@ -347,6 +351,7 @@
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	t.beganAt = now
 	t.loads.init()
+	l.seedTerm(now, t)
 	l.term = t
 	l.keeper = keeper.New(l.KeeperTiming)
 	l.keeper.Adopt(now, l.assignment)
--- a/leader/ownlist.go
+++ b/leader/ownlist.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"maps"
 	"time"
 
 	"pimentorelay.example/pimento"
@@ -49,6 +50,12 @@
 	}
 }
 
+// Known returns the list as what a process knows.
+func (o *OwnList) Known() KnownUpstreams {
+	r := &o.registry
+	return KnownUpstreams{Era: r.era, Servers: r.list(), Out: r.outDomains, Gone: maps.Clone(r.gone)}
+}
+
 // Complete reports whether both the upstreams and the failure domains are known.
 func (o *OwnList) Complete() bool { return o.registry.version > 0 }
 
--- a/leader/push_test.go
+++ b/leader/push_test.go
@@ -119,8 +119,9 @@
 func (m *fixedMember) UpstreamsConfirmed(r UpstreamsRead) {
 	m.confirmedUpstreams = append(m.confirmedUpstreams, r)
 }
-func (m *fixedMember) Announced(messenger.Versions) {}
-func (m *fixedMember) Versions() messenger.Versions { return messenger.Versions{Manifest: m.version} }
+func (m *fixedMember) KnownUpstreams() KnownUpstreams { return KnownUpstreams{} }
+func (m *fixedMember) Announced(messenger.Versions)   {}
+func (m *fixedMember) Versions() messenger.Versions   { return messenger.Versions{Manifest: m.version} }
 func (m *fixedMember) Manifest() (*pimento.Manifest, []byte) {
 	return &pimento.Manifest{Version: m.version}, m.encoded
 }
--- a/leader/registry.go
+++ b/leader/registry.go
@@ -35,7 +35,6 @@
 // registry holds the known state of the upstreams.
 type registry struct {
 	known          map[pimento.UpstreamName]pimento.Server
-	goneAt         map[pimento.UpstreamName]time.Time // when an entry was first missing
 	lastStarted    map[pimento.UpstreamName]time.Time // latest start seen
 	outDomains     []pimento.DomainName
 	outDomainsRead bool // whether they were read once
@@ -61,9 +60,7 @@
 // operators have written them again.
 func (r *registry) enterEra(now time.Time, era uint64) {
 	if r.era > 0 && era > r.era {
-		r.restoredUntil = now.Add(lapsedEntryGrace)
-		r.graceUntil = r.restoredUntil
-		r.heldOut = r.outDomains
+		r.holdRestored(now.Add(lapsedEntryGrace))
 	}
 	r.era = max(r.era, era)
 }
@@ -87,17 +84,20 @@
 	return s, true
 }
 
+// init makes the maps of a registry that has none.
+func (r *registry) init() {
+	if r.known != nil {
+		return
+	}
+	r.known = make(map[pimento.UpstreamName]pimento.Server)
+	r.lastStarted = make(map[pimento.UpstreamName]time.Time)
+	r.gone = make(map[pimento.UpstreamName]time.Time)
+	r.coldUntil = make(map[pimento.UpstreamName]time.Time)
+}
+
 // applyList applies a reading that began at startedAt.
 func (r *registry) applyList(now, startedAt time.Time, list []pimento.Server) {
-	if r.known == nil {
-		r.known = make(map[pimento.UpstreamName]pimento.Server)
-		r.goneAt = make(map[pimento.UpstreamName]time.Time)
-		r.lastStarted = make(map[pimento.UpstreamName]time.Time)
-		r.gone = make(map[pimento.UpstreamName]time.Time)
-	}
-	if r.coldUntil == nil {
-		r.coldUntil = make(map[pimento.UpstreamName]time.Time)
-	}
+	r.init()
 	if !r.readAt.IsZero() && startedAt.Sub(r.readAt) > storeOutageThreshold {
 		r.graceUntil = now.Add(lapsedEntryGrace)
 	}
@@ -150,9 +150,7 @@
 	if !r.outDomainsRead {
 		return
 	}
-	if r.coldUntil == nil {
-		r.coldUntil = make(map[pimento.UpstreamName]time.Time)
-	}
+	r.init()
 	out := slices.Clone(r.listedOut)
 	if now.Before(r.restoredUntil) {
 		out = append(out, r.heldOut...)
@@ -271,6 +269,7 @@
 			end := timekeeper.Now()
 			t.listing = false
 			if err != nil {
+				l.StoreFailed()
 				t.listAt = end.Add(t.listBackoff.Pause())
 				return
 			}
@@ -280,6 +279,8 @@
 				t.planAt = end
 			}
 			t.upstreams.enterEra(end, l.storeEra.Load())
+			lapsedUntil, _ := l.outages.ends()
+			t.upstreams.keepMissing(lapsedUntil)
 			t.upstreams.applyList(end, now, list)
 			for name, s := range t.upstreams.known {
 				t.servers[name] = s
--- a/router/upstreams.go
+++ b/router/upstreams.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -39,19 +40,30 @@
 type sentUpstreams struct {
 	servers map[pimento.UpstreamName]pimento.Server
 	out     []pimento.DomainName
+	gone    map[pimento.UpstreamName]time.Time // starts of the runs that were removed
 }
 
 // apply applies changes of the upstreams, or replaces them all if the list is whole.
 func (s *sentUpstreams) apply(now time.Time, list *messenger.UpstreamList) {
+	if s.gone == nil {
+		s.gone = make(map[pimento.UpstreamName]time.Time)
+	}
 	if list.Whole || s.servers == nil {
+		for name, server := range s.servers {
+			s.gone[name] = server.Started
+		}
 		s.servers = make(map[pimento.UpstreamName]pimento.Server)
 	}
 	for _, u := range list.Upstreams {
 		server := u.Server
 		server.WarmAt = now.Add(u.ColdFor)
 		s.servers[server.Name] = server
+		delete(s.gone, server.Name)
 	}
 	for _, name := range list.Gone {
+		if server, ok := s.servers[name]; ok {
+			s.gone[name] = server.Started
+		}
 		delete(s.servers, name)
 	}
 	s.out = list.Out
@@ -95,6 +107,21 @@
 	return out
 }
 
+// KnownUpstreams implements leader.Member.
+func (f *follower) KnownUpstreams() leader.KnownUpstreams {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.own != nil && f.own.Complete() {
+		return f.own.Known()
+	}
+	return f.knownAsSent()
+}
+
+// knownAsSent returns the upstreams that the leader has sent. The caller holds mu.
+func (f *follower) knownAsSent() leader.KnownUpstreams {
+	return leader.KnownUpstreams{Era: f.upstreamsEra, Servers: f.sentServers(), Out: f.sent.out, Gone: maps.Clone(f.sent.gone)}
+}
+
 // UpstreamsConfirmed implements leader.Member.
 func (f *follower) UpstreamsConfirmed(r leader.UpstreamsRead) {
 	f.mu.Lock()
@@ -170,6 +197,7 @@
 			backoff.Reset()
 			continue
 		}
+		f.router.leader.StoreFailed()
 		var busy *pimento.BusyError
 		if failures++; failures == 1 && !errors.As(err, &busy) {
 			sleep(ctx, confirmRetryPause) // the failure may be that of its connection
