--- a/leader/confirmation.go
+++ b/leader/confirmation.go
@@ -62,7 +62,7 @@
 
 // dateRead returns when the read of a confirmation began, on the clock of this process;
 // false unless the stamp is its own. The stamp was made before the leader got it, so the
-// read began no earlier than this dates it.
+// read began no earlier than this dates it. The store has answered then.
 func (l *Leader) dateRead(c *messenger.Confirmation) (time.Time, bool) {
 	if c == nil || c.Stamp.Process != l.stampID {
 		return time.Time{}, false
--- a/leader/ownlist.go
+++ b/leader/ownlist.go
@@ -5,32 +5,43 @@
 	"time"
 
 	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/timekeeper"
 )
 
 // OwnList is the upstreams and the failure domains out of service that a process which
 // does not lead reads itself. It treats what it reads as a leader does: entries that
 // lapsed in an outage of the store are kept for a while, and the upstreams of a domain
 // that returns are cold. Times are those of timekeeper. It is not safe for concurrent use.
-type OwnList struct{ registry registry }
+type OwnList struct {
+	registry registry
+	outages  *outages
+}
 
 // NewOwnList returns a list that begins with what a leader sent, which is known to be
 // the newest as of readAt; zero: nothing is known. cold returns how long the upstreams
 // of a service are cold after the return of their domain.
-func NewOwnList(readAt time.Time, era uint64, servers []pimento.Server, out []pimento.DomainName, cold func(pimento.ServiceName) time.Duration) *OwnList {
-	o := &OwnList{}
-	o.registry.era, o.registry.coldFor = era, cold
+func (l *Leader) NewOwnList(readAt time.Time, known KnownUpstreams, cold func(pimento.ServiceName) time.Duration) *OwnList {
+	o := &OwnList{outages: &l.outages}
+	r := &o.registry
+	r.era, r.coldFor = known.Era, cold
 	if readAt.IsZero() {
 		return o
 	}
-	o.registry.applyList(readAt, readAt, servers)
-	o.registry.setOut(readAt, era, out, cold)
-	o.MarkLeaving(servers)
+	now := timekeeper.Now()
+	r.seed(now, known)
+	if _, until := o.outages.ends(); now.Before(until) {
+		r.holdRestored(until)
+	}
+	r.readAt, r.readBeganAt = readAt, readAt
+	r.setOut(readAt, known.Era, known.Out, cold)
 	return o
 }
 
 // Apply applies a reading of the upstreams that began at beganAt.
 func (o *OwnList) Apply(now, beganAt time.Time, era uint64, servers []pimento.Server) {
 	o.registry.enterEra(now, era)
+	lapsedUntil, _ := o.outages.ends()
+	o.registry.keepMissing(lapsedUntil)
 	o.registry.applyList(now, beganAt, servers)
 }
 
--- a/router/upstreams.go
+++ b/router/upstreams.go
@@ -254,11 +254,11 @@
 // newOwnList returns a list that begins with what the leader has sent, if it has. The
 // caller holds mu.
 func (f *follower) newOwnList(beganAt time.Time) *leader.OwnList {
-	at, era := f.upstreamsAt, f.upstreamsEra
+	at, known := f.upstreamsAt, f.knownAsSent()
 	if at.IsZero() && f.sent.servers != nil { // by a leader that confirms nothing
-		at, era = beganAt, f.router.storeEra.Load()
+		at, known.Era = beganAt, f.router.storeEra.Load()
 	}
-	return leader.NewOwnList(at, era, f.sentServers(), f.sent.out, f.coldFor)
+	return f.router.leader.NewOwnList(at, known, f.coldFor)
 }
 
 // coldFor returns how long the upstreams of a service are cold after the return of their
