--- a/leader/confirmation.go
+++ b/leader/confirmation.go
@@ -62,13 +62,15 @@
 
 // dateRead returns when the read of a confirmation began, on the clock of this process;
 // false unless the stamp is its own. The stamp was made before the leader got it, so the
-// read began no earlier than this dates it.
+// read began no earlier than this dates it. The store has answered then.
 func (l *Leader) dateRead(c *messenger.Confirmation) (time.Time, bool) {
 	if c == nil || c.Stamp.Process != l.stampID {
 		return time.Time{}, false
 	}
 	drift := time.Duration(clockDrift * float64(c.Later.Abs()))
-	return time.Unix(0, c.Stamp.At).Add(c.Later - drift), true
+	at := time.Unix(0, c.Stamp.At).Add(c.Later - drift)
+	l.outages.answered(timekeeper.Now(), at)
+	return at, true
 }
 
 // upstreamsRead returns the leader's last read of the upstreams; false if there is none
