--- /dev/null
+++ b/connector/extra_test.go
@@ -0,0 +1,89 @@
+package connector
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pimentorelay.example/pimento"
+)
+
+// The outcomes of a control call.
+const (
+	taken    = "Taken" // the upstream has carried it out
+	fenced   = "Fenced"
+	unsent   = "Unsent"
+	noAnswer = "NoAnswer" // the upstream may have carried it out
+)
+
+// handover is that of the upstream's answers.
+const handover = "state"
+
+// controlOutcome returns the outcome of a control call by its error.
+func controlOutcome(err error) string {
+	var unreachable *pimento.UnreachableError
+	switch {
+	case err == nil:
+		return taken
+	case errors.As(err, new(*pimento.FencedError)):
+		return fenced
+	case errors.As(err, &unreachable) && unreachable.Unsent:
+		return unsent
+	default:
+		return noAnswer
+	}
+}
+
+// TestExtraAnswerIsTakenForThatOfAControlCall guards against keys that count as released,
+// granted or refused by an extra answer to an earlier request on the same connection.
+func TestExtraAnswerIsTakenForThatOfAControlCall(t *testing.T) {
+	keys := pimento.KeyRange{From: 1, To: 9}
+	grant := func(c *Client) string {
+		return controlOutcome(c.Grant(t.Context(), pimento.KeyGrant{Range: keys, Fence: 46, Hold: time.Second}))
+	}
+	release := func(c *Client) string {
+		got, err := c.Release(t.Context(), keys, 47, time.Second)
+		return controlOutcome(err) + got
+	}
+	for _, test := range []struct {
+		name    string
+		call    func(*Client) string
+		extra   int // status of the extra answer
+		answer  int // status of the answer to the call; zero: it never comes
+		outcome string
+	}{
+		{"release that has not ended", release, http.StatusOK, 0, noAnswer},
+		{"release that ends later", release, http.StatusOK, http.StatusOK, taken + handover},
+		{"grant that is refused", grant, http.StatusOK, http.StatusConflict, fenced},
+		{"grant that is taken after a conflict", grant, http.StatusConflict, http.StatusOK, taken},
+		{"grant that is taken after a misdirected request", grant, http.StatusMisdirectedRequest, http.StatusOK, taken},
+		{"grant without an answer", grant, http.StatusMisdirectedRequest, 0, noAnswer},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newFakeServer(t, func(p *peer) {
+				p.readRequest(true)
+				p.writeAnswer("first", "ok")
+				p.readRequest(true)
+				fmt.Fprintf(p, "HTTP/1.1 %d Extra\r\nPimentorelay-Attempt-Id: first\r\nContent-Length: 2\r\n\r\nok", test.extra)
+				time.Sleep(soon)
+				if test.answer != 0 {
+					fmt.Fprintf(p, "HTTP/1.1 %d Answer\r\nPimentorelay-Handover: %s\r\nContent-Length: 0\r\n\r\n", test.answer, handover)
+				}
+				p.readRequest(true)
+			})
+			c := s.client()
+			_, _, err := doRequest(c, "first", "GET", "")
+			is.NoErr(err)
+			outcome := test.call(c)
+			if !slices.Contains([]string{test.outcome, noAnswer}, outcome) {
+				t.Errorf("outcome %s, the upstream's answer says %s", outcome, test.outcome)
+			}
+		})
+	}
+}
