--- a/connector/withdraw_test.go
+++ b/connector/withdraw_test.go
@@ -88,7 +88,7 @@
 	t.Run("process that ends", func(t *testing.T) {
 		is := is.New(t)
 		s, l, ended := newCutServer(t)
-		p := startEndingProcess(t, l.Address())
+		p := startChild(t, "TestEndingProcess", endingProcess, l.Address())
 		is.Equal(p.readLine(), "answered")
 		l.Cut()
 		p.writeLine("again")
@@ -131,10 +131,12 @@
 	out *bufio.Scanner
 }
 
-func startEndingProcess(t *testing.T, address netip.AddrPort) *child {
+// startChild starts a test as a process that finds an address in a variable of its
+// environment.
+func startChild(t *testing.T, test, variable string, address netip.AddrPort) *child {
 	t.Helper()
-	cmd := exec.Command(os.Args[0], "-test.run=^TestEndingProcess$")
-	cmd.Env = append(os.Environ(), endingProcess+"="+address.String())
+	cmd := exec.Command(os.Args[0], "-test.run=^"+test+"$")
+	cmd.Env = append(os.Environ(), variable+"="+address.String())
 	in, err := cmd.StdinPipe()
 	if err != nil {
 		t.Fatal(err)
