--- a/keeper/late_test.go
+++ b/keeper/late_test.go
@@ -100,3 +100,73 @@
 		})
 	}
 }
+
+// TestKeysMoveToTheirOwnHolder guards against a hold that is forgotten where the holder
+// gets the same keys under a new fence, as one does that has seen a higher one.
+func TestKeysMoveToTheirOwnHolder(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		result Result // of a renewal that is under way as the keys move
+	}{
+		{"nothing is under way", ""},
+		{"a renewal has no answer", ResultUnknown},
+		{"a renewal is accepted", ResultAccepted},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			sim := newSimulation()
+			sim.adopt(held(all, runA, 1))
+			sim.acceptGrants(is)
+			heldSince := sim.now
+			sim.advance(sim.m.timing.Renew)
+			renewals := sim.step()
+			is.Equal(len(renewals), 1)
+			sim.adopt(moved(all, runA, runA, 2))
+			if c.result != "" {
+				sim.m.HandleGrantResult(sim.now, sim.now, renewals[0], c.result)
+				heldSince = sim.now
+			}
+			for _, call := range sim.step() {
+				if call.Kind == CallGrant {
+					sim.m.HandleGrantResult(sim.now, sim.now, call, ResultUnsent)
+				}
+			}
+			sim.adopt(moved(all, runA, runB, 3))
+			sim.addressUnknown = []pimento.Run{runA}
+			for end := heldSince.Add(sim.m.timing.Hold + sim.m.timing.Hold/50); sim.now.Before(end); sim.advance(10 * time.Millisecond) {
+				if calls := sim.step(); len(calls) > 0 {
+					t.Fatalf("keys are granted to %s %v before a can no longer hold them", calls[0].Run.Upstream, end.Sub(sim.now))
+				}
+			}
+		})
+	}
+}
+
+// TestGrantOutlivesTheRelease guards against keys that move although the next run of their
+// former holder has taken a grant that was under way when the run before released them.
+func TestGrantOutlivesTheRelease(t *testing.T) {
+	for _, result := range []Result{ResultAccepted, ResultUnknown} {
+		t.Run(string(result), func(t *testing.T) {
+			is := is.New(t)
+			sim := newSimulation()
+			sim.adopt(held(all, runA, 1))
+			sim.acceptGrants(is)
+			sim.advance(sim.m.timing.Renew)
+			renewals := sim.step()
+			is.Equal(len(renewals), 1)
+			is.True(sim.m.BeginGrant(sim.now, renewals[0]))
+			sim.adopt(moved(all, runA, runB, 2))
+			for _, c := range sim.step() {
+				if c.Kind == CallRelease {
+					sim.m.HandleReleaseResult(sim.now, c, "", true)
+				}
+			}
+			sim.m.HandleGrantResult(sim.now, sim.now, renewals[0], result)
+			for _, c := range sim.step() {
+				if c.Kind == CallGrant {
+					t.Fatalf("keys are granted to %s, and a has not released them since it may have taken them", c.Run.Upstream)
+				}
+			}
+		})
+	}
+}
