Test that new ranges do not delay renewals

New grants are queued before renewals. With 40 ranges that move to an upstream of 40, and answers after 20 and 100 ms, no range that it holds lapses: the suspicion is not shown. Change: a test, which passes.

--- a/leader/unsent_test.go
+++ b/leader/unsent_test.go
@@ -150,3 +150,45 @@
 		})
 	}
 }
+
+// TestNewRangesDelayRenewals guards against keys that lapse at an upstream that answers,
+// because its renewals wait for the first grants of many ranges that move to it.
+func TestNewRangesDelayRenewals(t *testing.T) {
+	const held = 40 // ranges; as many move to it
+	for _, took := range []time.Duration{20 * time.Millisecond, 100 * time.Millisecond} {
+		t.Run(took.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				restore := timekeeper.SetClock(time.Now)
+				defer restore()
+				g := newGrantTest(t, 2*held, took)
+				holdings := g.leader.assignment.Tables[0].Holdings
+				holder := holdings[0].Holder
+				for i := range holdings[held:] {
+					holdings[held+i].Holder = pimento.Run{}
+				}
+				g.leader.keeper.Adopt(timekeeper.Now(), g.leader.assignment)
+				g.run(10*time.Second, true)
+				for i := range holdings[held:] {
+					holdings[held+i].Holder = holder
+					holdings[held+i].Fence += 2 * held
+				}
+				g.leader.keeper.Adopt(timekeeper.Now(), g.leader.assignment)
+				worst := 0
+				for range 50 {
+					g.run(100*time.Millisecond, true)
+					unready := 0
+					now := timekeeper.Now()
+					for _, s := range g.leader.keeper.States(now, g.input(now)) {
+						if s.Fence <= held && !s.Ready {
+							unready++
+						}
+					}
+					worst = max(worst, unready)
+				}
+				if worst > 0 {
+					t.Errorf("up to %d of %d ranges lapse, though every grant is accepted within %s", worst, held, took)
+				}
+			})
+		})
+	}
+}
