--- a/leader/cluster_test.go
+++ b/leader/cluster_test.go
@@ -51,6 +51,11 @@
 	closedConns    map[[2]string]bool      // no kept connection: the next call dials
 	stallRate      float64                 // share of the grants before which the process stalls
 	sendsLate      bool                    // a grant is sent after a stall although its deadline has passed
+	conditions     map[pimento.HostName]condition
+	thawedAt       map[pimento.HostName]time.Time // when a frozen host last went on
+	kernelSends    bool                           // the kernel of a frozen host goes on sending what a cut holds up
+	lateReleases   bool                           // releases take effect late as grants do
+	keepsStore     bool                           // a store that was down is as it was
 	fences         map[pimento.Key]map[pimento.UpstreamName]uint64
 	violations     []string // of exclusive ownership and the order of fences
 	goroutines     sync.WaitGroup
@@ -98,7 +103,8 @@
 		revision: pimento.Revision{Era: 1},
 		store:    make(map[string]pimento.Entry), cutLinks: make(map[[2]string]bool),
 		healedAt: make(map[[2]string]time.Time), closedConns: make(map[[2]string]bool),
-		fences: make(map[pimento.Key]map[pimento.UpstreamName]uint64),
+		fences:     make(map[pimento.Key]map[pimento.UpstreamName]uint64),
+		conditions: make(map[pimento.HostName]condition), thawedAt: make(map[pimento.HostName]time.Time),
 	}
 	for i := range simUpstreams {
 		name := pimento.UpstreamName(fmt.Sprintf("u%d", i))
@@ -219,6 +225,7 @@
 		cl.healedAt[link] = time.Now()
 	}
 	clear(cl.cutLinks)
+	cl.clearConditions()
 	cl.storeDown, cl.lostAnswerRate, cl.lateWriteRate, cl.lateGrantRate, cl.stallRate = false, 0, 0, 0, 0
 }
 
@@ -263,7 +270,7 @@
 // deliver simulates the latency of a message and reports whether it arrives. On a
 // cut link it blocks until ctx ends.
 func (cl *cluster) deliver(ctx context.Context, from, to string) bool {
-	sleep(ctx, cl.randomDuration(200*time.Microsecond, 4*time.Millisecond))
+	sleep(ctx, cl.randomDuration(200*time.Microsecond, 4*time.Millisecond)+cl.uplinkDelay(from))
 	if cl.isCut(from, to) {
 		<-ctx.Done()
 		return false
@@ -303,6 +310,9 @@
 func (cl *cluster) restoreStore(age time.Duration) {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
+	if cl.keepsStore {
+		return
+	}
 	at := time.Now().Add(-age)
 	copied := storeCopy{entries: make(map[string]pimento.Entry)}
 	for _, c := range cl.storeLog {
@@ -327,6 +337,7 @@
 	defer cancel()
 	unreachable := &pimento.UnreachableError{Target: storeName, Cause: errNoAnswer}
 	host := string(p.self.Host)
+	p.cluster.pause(p.self.Host)
 	if !p.cluster.deliver(ctx, host, storeName) {
 		return unreachable
 	}
@@ -341,6 +352,7 @@
 	if !p.cluster.deliver(ctx, storeName, host) {
 		return unreachable
 	}
+	p.cluster.pause(p.self.Host)
 	return err
 }
 
@@ -477,6 +489,7 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	unreachable := &pimento.UnreachableError{Target: string(to.ID), Cause: errNoAnswer}
+	p.cluster.pause(p.self.Host)
 	if !p.cluster.deliver(ctx, string(p.self.Host), string(to.Host)) {
 		return nil, unreachable
 	}
@@ -487,29 +500,37 @@
 		return nil, unreachable
 	}
 	answer := make(chan *messenger.Message, 1)
-	reply := func(r *messenger.Message) { answer <- r }
-	switch {
-	case m.Heartbeat != nil:
-		target.leader.HandleHeartbeat(p.self.ID, m.Heartbeat, reply)
-	case m.Vote != nil:
-		target.leader.HandleVote(m.Vote, reply)
-	case m.State != nil:
-		target.leader.HandleState(p.self.ID, m.State, reply)
-	case m.Join != nil:
-		target.leader.HandleJoin(m.Join.Process)
-		return &messenger.Message{}, nil
-	}
+	p.cluster.spawn(func() { // the receiver may be held up for longer than the sender waits
+		p.cluster.pause(to.Host)
+		target.handle(p.self.ID, m, func(r *messenger.Message) { answer <- r })
+	})
 	select {
 	case r := <-answer:
 		if !p.cluster.deliver(ctx, string(to.Host), string(p.self.Host)) {
 			return nil, unreachable
 		}
+		p.cluster.pause(p.self.Host)
 		return r, nil
 	case <-ctx.Done():
 		return nil, unreachable
 	}
 }
 
+// handle handles a message of another process.
+func (p *process) handle(from pimento.ProcessID, m *messenger.Message, reply func(*messenger.Message)) {
+	switch {
+	case m.Heartbeat != nil:
+		p.leader.HandleHeartbeat(from, m.Heartbeat, reply)
+	case m.Vote != nil:
+		p.leader.HandleVote(m.Vote, reply)
+	case m.State != nil:
+		p.leader.HandleState(from, m.State, reply)
+	case m.Join != nil:
+		p.leader.HandleJoin(m.Join.Process)
+		reply(&messenger.Message{})
+	}
+}
+
 // Send implements Peers.
 func (p *process) Send(ctx context.Context, to pimento.Process, m *messenger.Message) error {
 	_, err := p.Call(ctx, to, m)
@@ -572,6 +593,7 @@
 
 // Manifest implements Member.
 func (m simMember) Manifest() (*pimento.Manifest, []byte) {
+	m.cluster.pause(m.self.Host)
 	return &pimento.Manifest{Version: 1, Services: []pimento.Service{{Name: simService, Sharing: pimento.SharingKeyed}}}, nil
 }
 
@@ -603,6 +625,7 @@
 
 // Versions implements Member.
 func (p *process) Versions() messenger.Versions {
+	p.cluster.pause(p.self.Host)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	v := p.versions
@@ -612,6 +635,7 @@
 
 // Report implements Member. The hot keys change every 4 s, so that keys move.
 func (p *process) Report() messenger.Report {
+	p.cluster.pause(p.self.Host)
 	base := int(time.Since(p.cluster.started)/(4*time.Second)) * 9001
 	var out []messenger.KeyLoad
 	p.mu.Lock()
@@ -673,9 +697,23 @@
 	if p.cluster.happens(&p.cluster.stallRate) && !p.cluster.stall(&ctx) {
 		return &pimento.UnreachableError{Target: string(to.Name), Cause: ctx.Err(), Unsent: true}
 	}
+	defer p.cluster.pause(p.self.Host)
+	p.cluster.pause(p.self.Host)
 	if !time.Now().Before(g.SendBefore) {
 		return &pimento.UnreachableError{Target: string(to.Name), Cause: errNoAnswer, Unsent: true, Withheld: true}
 	}
+	if ctx.Err() != nil {
+		return &pimento.UnreachableError{Target: string(to.Name), Cause: ctx.Err(), Unsent: true}
+	}
+	run := p.cluster.runOf(to.Name) // that the connection leads to
+	p.cluster.pause(p.self.Host)
+	if p.cluster.justThawed(p.self.Host) {
+		return unreachable
+	}
+	if ctx.Err() != nil { // it is written nevertheless
+		p.cluster.arriveLate(string(p.self.Host), run, func() { p.cluster.applyGrant(p.self.ID, to, g, time.Now()) })
+		return unreachable
+	}
 	if !p.cluster.deliverCall(ctx, string(p.self.Host), string(to.Name), func() { p.cluster.applyGrant(p.self.ID, to, g, time.Now()) }) {
 		return unreachable
 	}
@@ -796,9 +834,25 @@
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	unreachable := &pimento.UnreachableError{Target: string(from.Name), Cause: errNoAnswer}
+	p.cluster.pause(p.self.Host)
+	if ctx.Err() != nil {
+		return "", &pimento.UnreachableError{Target: string(from.Name), Cause: ctx.Err(), Unsent: true}
+	}
+	defer p.cluster.pause(p.self.Host)
 	if !p.cluster.deliverCall(ctx, string(p.self.Host), string(from.Name), func() { p.cluster.applyRelease(from, r, fence) }) {
 		return "", unreachable
 	}
+	if p.cluster.releasesLate() {
+		run := p.cluster.runOf(from.Name)
+		p.cluster.spawn(func() {
+			sleep(p.cluster.ctx, p.cluster.randomDuration(2*time.Second, 12*time.Second))
+			if p.cluster.runOf(from.Name).Same(run) {
+				p.cluster.applyRelease(from, r, fence)
+			}
+		})
+		<-ctx.Done()
+		return "", unreachable
+	}
 	if !p.cluster.applyRelease(from, r, fence) {
 		return "", &pimento.UnreachableError{Target: string(from.Name), Cause: errNoAnswer, Unsent: true}
 	}
--- a/leader/delivery_test.go
+++ b/leader/delivery_test.go
@@ -26,16 +26,24 @@
 // are held up, the kernel goes on sending one that was given up; arrive is then called
 // when it gets through.
 func (cl *cluster) deliverCall(ctx context.Context, from, to string, arrive func()) bool {
-	sentAt := time.Now()
+	sentAt, run := time.Now(), cl.runOf(pimento.UpstreamName(to))
+	way := cl.uplinkDelay(from)
 	delivered := cl.deliver(ctx, from, to)
 	link := [2]string{from, to}
 	cl.mu.Lock()
 	kept := !cl.closedConns[link]
 	cl.closedConns[link] = !delivered
-	holdsUp := cl.holdsUpCalls && !delivered && kept
+	cut := cl.cutLinks[link]
+	closedAt := cl.endOfFreeze(from)
 	cl.mu.Unlock()
-	if holdsUp {
+	switch {
+	case delivered || !kept:
+	case cut && cl.holdsUpCalls:
 		cl.spawn(func() { cl.retransmit(link, sentAt, arrive) })
+	case cut && time.Now().Before(closedAt):
+		cl.spawn(func() { cl.retransmitUntil(closedAt, link, sentAt, arrive) })
+	case !cut: // it has left the host
+		cl.arriveAfter(time.Until(sentAt.Add(way)), run, arrive)
 	}
 	return delivered
 }
@@ -43,8 +51,13 @@
 // retransmit sends a call again until the link lets it through. What arrives within
 // healGrace breaks no rule and is dropped.
 func (cl *cluster) retransmit(link [2]string, sentAt time.Time, arrive func()) {
+	cl.retransmitUntil(cl.started.Add(time.Hour), link, sentAt, arrive)
+}
+
+// retransmitUntil is retransmit until the connection is closed.
+func (cl *cluster) retransmitUntil(closedAt time.Time, link [2]string, sentAt time.Time, arrive func()) {
 	pause := firstRetransmission
-	for at := sentAt.Add(pause); cl.ctx.Err() == nil; at = at.Add(pause) {
+	for at := sentAt.Add(pause); cl.ctx.Err() == nil && at.Before(closedAt); at = at.Add(pause) {
 		sleep(cl.ctx, time.Until(at))
 		cl.mu.Lock()
 		cut, excused := cl.cutLinks[link], time.Since(cl.healedAt[link]) <= healGrace
