Remember the hold of a holder that keeps its keys under a new fence

What callers saw: two upstreams hold the same keys (OWNER).

Cause: until when earlier holders may have keys was kept for all but the holder itself. Where keys stay with their holder under a new fence, as after it has seen a higher one or after a restore of the store, its hold by the former fence was forgotten: if the grant under the new fence was not sent and the keys moved, they went on at once. The same for a result of the former grant that came late.

Change: the holder's own hold is kept too.

--- a/keeper/machine.go
+++ b/keeper/machine.go
@@ -251,6 +251,7 @@
 func (r *row) noteHolder(run pimento.Run, until time.Time) {
 	switch {
 	case run.Same(r.holding.Holder):
+		r.mayHoldUntil = later(r.mayHoldUntil, until)
 	case run.Same(r.holding.Former):
 		r.formerMayHoldUntil = later(r.formerMayHoldUntil, until)
 	default:
@@ -391,6 +392,9 @@
 	// A fenced grant was refused, so it does not extend the hold.
 	mayHaveArrived := result == ResultAccepted || result == ResultUnknown
 	for _, r := range m.overlapping(c.Service, c.Grant.Range) {
+		if mayHaveArrived && r.holding.Holder.Same(c.Run) {
+			r.mayHoldUntil = later(r.mayHoldUntil, m.timing.expiry(now))
+		}
 		if mayHaveArrived && r.holding.Former.Same(c.Run) {
 			r.formerMayHoldUntil = later(r.formerMayHoldUntil, m.timing.expiry(now))
 		}
