Release keys only once no grant to their former holder is under way

What callers saw: two upstreams hold the same keys (OWNER).

Cause: a release counted as the end of all that its run has. A grant that was sent before it over another connection may arrive after it; the run has seen the higher fence and refuses it, but a next run of that upstream, which knows nothing of the fence, takes it.

--- a/keeper/machine.go
+++ b/keeper/machine.go
@@ -135,6 +135,7 @@
 	// The former holder.
 	freed              bool      // it cannot have the keys any more
 	formerMayHoldUntil time.Time // when the grants of this leader to it have expired
+	formerGranting     bool      // a grant to it is under way
 	releasing          bool
 	releaseAt          time.Time // time of the next release at the earliest
 	handover           string
@@ -238,6 +239,8 @@
 	for _, r := range before {
 		if r.holding.Fence != h.Fence {
 			next.noteHolder(r.holding.Holder, later(r.mayHoldUntil, r.pendingExpiry))
+			underWay := r.granting && !r.pendingExpiry.IsZero() && r.holding.Holder.Same(h.Former)
+			next.formerGranting = next.formerGranting || underWay
 			if !r.freed {
 				next.noteHolder(r.holding.Former, r.formerMayHoldUntil)
 			}
@@ -332,7 +335,7 @@
 
 // dueRelease returns the call that takes a row's keys back, if it is due.
 func (m *Machine) dueRelease(now time.Time, r *row, in Input) (Call, bool) {
-	if r.freed || r.releasing || now.Before(r.releaseAt) || !in.UpstreamKnown(r.holding.Former.Upstream) {
+	if r.freed || r.releasing || r.formerGranting || now.Before(r.releaseAt) || !in.UpstreamKnown(r.holding.Former.Upstream) {
 		return Call{}, false
 	}
 	r.releasing = true
@@ -392,6 +395,9 @@
 	// A fenced grant was refused, so it does not extend the hold.
 	mayHaveArrived := result == ResultAccepted || result == ResultUnknown
 	for _, r := range m.overlapping(c.Service, c.Grant.Range) {
+		if r.holding.Former.Same(c.Run) {
+			r.formerGranting = false
+		}
 		if mayHaveArrived && r.holding.Holder.Same(c.Run) {
 			r.mayHoldUntil = later(r.mayHoldUntil, m.timing.expiry(now))
 		}
