Release keys also from a former holder whose hold has expired

What callers saw: an upstream takes keys with an old fence while another has them with a higher one (OWNER); the record of the incident shows two such upstreams at one moment.

Cause: keys go on when the hold of their former holder has expired, and nothing was sent to it after that. It has not seen the higher fence, so it takes any older grant that still arrives: one that the kernel of a stopped process, or a full link, holds up.

Change: after an expiry the release is sent until the former holder has confirmed it, while that answers. It holds up nothing, and ends with the leader's term.

TestLateGrantBelowTheNextFence still fails, where the former holder carries an unanswered grant out seconds later; its hold is over by then.

--- a/keeper/machine.go
+++ b/keeper/machine.go
@@ -133,9 +133,10 @@
 	othersMayHoldUntil time.Time // when the grants of this leader to them have expired
 
 	// The former holder.
-	freed              bool      // it cannot have the keys any more
-	formerMayHoldUntil time.Time // when the grants of this leader to it have expired
-	formerGranting     bool      // a grant to it is under way
+	freed              bool        // it cannot have the keys any more
+	formerMayHoldUntil time.Time   // when the grants of this leader to it have expired
+	formerGranting     bool        // a grant to it is under way
+	unseen             pimento.Run // a former holder that may not have seen the fence; zero: none
 	releasing          bool
 	releaseAt          time.Time // time of the next release at the earliest
 	handover           string
@@ -271,6 +272,7 @@
 	for _, r := range m.rows {
 		inUse[keyOf(r.holding.Holder)] = true
 		inUse[keyOf(r.holding.Former)] = true
+		inUse[keyOf(r.unseen)] = true
 	}
 	for k := range m.runs {
 		if !inUse[k] {
@@ -326,6 +328,9 @@
 	if lapsed || startedAgain {
 		r.freed = true
 	}
+	if lapsed && h.Holder.Upstream != h.Former.Upstream {
+		r.unseen = h.Former
+	}
 }
 
 // EarlierGrantsExpired reports whether every grant of an earlier leader has expired.
@@ -335,12 +340,19 @@
 
 // dueRelease returns the call that takes a row's keys back, if it is due.
 func (m *Machine) dueRelease(now time.Time, r *row, in Input) (Call, bool) {
-	if r.freed || r.releasing || r.formerGranting || now.Before(r.releaseAt) || !in.UpstreamKnown(r.holding.Former.Upstream) {
+	from := r.holding.Former
+	if r.freed {
+		from = r.unseen
+	}
+	if from.IsZero() || r.releasing || r.formerGranting || now.Before(r.releaseAt) || !in.UpstreamKnown(from.Upstream) {
+		return Call{}, false
+	}
+	if r.freed && (in.Ended(from) || m.reachabilityOf(now, from).lost) {
 		return Call{}, false
 	}
 	r.releasing = true
 	return Call{
-		Kind: CallRelease, Service: r.service, Run: r.holding.Former,
+		Kind: CallRelease, Service: r.service, Run: from,
 		Grant: pimento.KeyGrant{Range: r.holding.KeyRange, Fence: r.holding.Fence},
 	}, true
 }
@@ -473,9 +485,10 @@
 	for _, r := range m.rowsFor(c) {
 		r.releasing = false
 		if ok {
-			r.freed = true
-			r.handover = handover
-			r.grantAt = now
+			r.unseen = pimento.Run{}
+			if !r.freed {
+				r.freed, r.handover, r.grantAt = true, handover, now
+			}
 		} else {
 			r.releaseAt = now.Add(m.timing.Retry)
 		}
