Let the kernel give up a control call that is not acknowledged

What callers saw: an upstream takes keys with an old fence while another has them (OWNER).

Cause: a call that is given up is withdrawn by closing its connection. A process that is stopped closes nothing, and nothing bounded how long its kernel went on sending what the upstream had not acknowledged.

Evidence: TestGrantOfAStoppedProcessArrivesLate (real sockets, SIGSTOP, a full window in place of a cut) failed: "the grant arrives 2.7s after it was sent, 1.6s are allowed".

Change: during a grant, release or probe the connection has a TCP user timeout of 0.6 s, and none during requests, whose bodies may be read slowly. Interim answers are passed over.

--- a/connector/control.go
+++ b/connector/control.go
@@ -5,9 +5,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"pimentorelay.example/pimento"
 	"pimentorelay.example/pimento/timekeeper"
 )
@@ -178,9 +182,13 @@
 		return reply{}, &pimento.UnreachableError{Target: string(c.Server.Name), Cause: err, Unsent: true, Withheld: errors.Is(err, errLate)}
 	}
 	kept := !cn.expires.IsZero()
+	if err := limitUnacknowledged(cn.Conn, controlTimeout); err != nil {
+		cn.Close()
+		return reply{}, &pimento.UnreachableError{Target: string(c.Server.Name), Cause: err, Unsent: true}
+	}
 	stop := context.AfterFunc(ctx, func() { cn.Close() })
 	r, reusable, err := c.roundTripControl(cn, call)
-	if err != nil || !stop() || !reusable {
+	if err != nil || !stop() || !reusable || limitUnacknowledged(cn.Conn, 0) != nil {
 		cn.Close()
 	} else {
 		c.putIdleConn(cn)
@@ -219,6 +227,9 @@
 		if err != nil {
 			return reply{}, false, err
 		}
+		if res.StatusCode/100 == 1 {
+			continue
+		}
 		cn.used = true
 		metadata := c.Wire.ReadAnswer(res.StatusCode, res.Header.Clone())
 		c.observeAnswer(writtenAt, metadata)
@@ -235,3 +246,23 @@
 	}
 	return reply{}, false, errStaleAnswers
 }
+
+// limitUnacknowledged bounds how long what is written may stay unacknowledged before the
+// kernel resets the connection, also if this process is stopped; zero: no bound.
+func limitUnacknowledged(c net.Conn, d time.Duration) error {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var optionErr error
+	if err := raw.Control(func(fd uintptr) {
+		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+	}); err != nil {
+		return err
+	}
+	return optionErr
+}
