leader: take only a later process for evidence that one has ended

Cause: a process counted as ended if the store showed any other one under its host. A process that restarts joins its leader, and becomes a confirmer, before its registration is stored; a candidate then read the process before it and took the new one for ended. It was elected by a minority and did not wait for the authority of the leader before it.

Evidence: TestProcessThatIsNotRegisteredYet and TestTwoLeadersOverUnregisteredConfirmers failed ("leader h3-4 granted upstream u4 keys 6555-8739 with fence 10 while u0 holds 0-10921 with fence 1 for another 2.13s"). With the start times alone compared, the new case "not registered yet, and their clocks were set back" failed in two of five runs: a process that the store hid campaigned after 7 s, led, and was taken for ended.

Change: a process has ended only if the one registered under its host started later. The start times come from one host, but its clock may be set back between two starts. So nothing rests on them alone: a process becomes a confirmer only once its own entry was read, and campaigns only if the store shows no other process of its host. An entry that is read later and names another process is then of a later revision, which only a later process can have written: entries are replaced conditionally, and a host runs one process at a time. If the clock was set back, an ended process counts as running; then successors wait for votes and for the longest time without the store, as they do for a lost one.

TestStaleReadingKeepsJoinedProcess expected in its first check that b-2 counts as ended since a stale reading shows b-1: that is the fault. It now expects that neither counts as ended before the Join, and gives the processes start times, as all real ones have; the Join goes through HandleJoin, and b-1 must stay ended to the end.

Measured: the two tests pass, the table of four cases in five runs of five; so do TestOutages, TestStrongHostsLead, TestMostProcessesAreGone and TestStaleReading*.

--- a/leader/campaign.go
+++ b/leader/campaign.go
@@ -47,6 +47,7 @@
 type registeredProcess struct {
 	process  pimento.Process
 	revision pimento.Revision
+	stored   bool // read from the store, not only known from a Join
 }
 
 // listProcesses reads the registered processes from the store.
@@ -205,7 +206,7 @@
 func (l *Leader) requestVotes(ctx context.Context, s storedAssignment) {
 	now := timekeeper.Now()
 	l.adoptAssignment(now, s, false)
-	if !l.elector.MayCampaign(now, l.ended) || l.defersToStrongerHost(now) || l.defersToIncumbent(now) {
+	if l.isHidden() || !l.elector.MayCampaign(now, l.ended) || l.defersToStrongerHost(now) || l.defersToIncumbent(now) {
 		l.endCampaign()
 		return
 	}
@@ -280,7 +281,7 @@
 	if l.assignment != nil {
 		next = l.assignment.Clone()
 	}
-	next.Term = l.elector.NextTerm(live, l.ended)
+	next.Term = l.elector.NextTerm(l.eligible(live), l.ended)
 	next.Term.Epoch = max(next.Term.Epoch, l.knownEpoch()+1)
 	next.EnterEra(l.revision.Era, true)
 	if !l.isCertain() {
@@ -309,6 +310,31 @@
 	return slices.Contains(l.elector.Term().Confirmers, id)
 }
 
+// isHidden reports whether the store shows another process of this host, since this one
+// has not registered yet.
+func (l *Leader) isHidden() bool {
+	current, ok := l.registered[l.Self.Host]
+	return ok && current.process.ID != l.Self.ID
+}
+
+// eligible returns the processes of a list that may become confirmers: the present ones
+// and those that the store has shown. A reading that shows another process in place of a
+// confirmer is then later, so that the confirmer has ended.
+func (l *Leader) eligible(list []pimento.ProcessID) []pimento.ProcessID {
+	var out []pimento.ProcessID
+	for _, id := range list {
+		if id == l.Self.ID || l.isConfirmer(id) {
+			out = append(out, id)
+			continue
+		}
+		p, ok := l.process(id)
+		if current := l.registered[p.Host]; ok && current.stored && current.process.ID == id {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // assignmentMembers returns the members of the next assignment: the latest
 // registered process of each host, and every process that a term still names, so
 // that its end can be detected.
--- a/leader/cluster_test.go
+++ b/leader/cluster_test.go
@@ -51,6 +51,7 @@
 	closedConns    map[[2]string]bool      // no kept connection: the next call dials
 	stallRate      float64                 // share of the grants before which the process stalls
 	refusesEntries bool                    // the store rejects the registration of processes
+	clockOffset    time.Duration           // of the time of day at which processes start
 	takesExpired   bool                    // a grant that takes effect after its hold counts for the order of fences
 	sendsLate      bool                    // a grant is sent after a stall although its deadline has passed
 	fences         map[pimento.Key]map[pimento.UpstreamName]uint64
@@ -146,7 +147,7 @@
 	cl.mu.Lock()
 	cl.startCount++
 	p := &process{cluster: cl, quarantine: quarantiner.New(), self: pimento.Process{
-		ID: pimento.ProcessID(fmt.Sprintf("%s-%d", host, cl.startCount)), Host: host, Domain: pimento.DomainName(host[1:]), Started: time.Now(),
+		ID: pimento.ProcessID(fmt.Sprintf("%s-%d", host, cl.startCount)), Host: host, Domain: pimento.DomainName(host[1:]), Started: time.Now().Add(cl.clockOffset),
 	}}
 	p.self.Strength = 1
 	if slices.Contains(cl.strongHosts, host) {
--- a/leader/heartbeat.go
+++ b/leader/heartbeat.go
@@ -230,7 +230,9 @@
 		if l.term == nil || p.ID == l.Self.ID || p.Started.Before(known.process.Started) {
 			return
 		}
-		l.registered[p.Host] = registeredProcess{process: p, revision: known.revision}
+		if p.ID != known.process.ID {
+			l.registered[p.Host] = registeredProcess{process: p, revision: known.revision}
+		}
 		l.updateMembers(timekeeper.Now())
 	})
 }
@@ -261,6 +263,7 @@
 func (l *Leader) mergeProcesses(list []registeredProcess) {
 	for _, p := range list {
 		if p.isNewerThan(l.registered[p.process.Host]) {
+			p.stored = true
 			l.registered[p.process.Host] = p
 		}
 	}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -273,8 +273,8 @@
 	})
 }
 
-// ended reports whether a member has definitely ended, which is so if another
-// process has registered under its host.
+// ended reports whether a member has definitely ended, which is so if a later process of
+// its host is registered. The store may still show the one before it.
 func (l *Leader) ended(id pimento.ProcessID) bool {
 	if l.assignment == nil || id == l.Self.ID {
 		return false
@@ -284,7 +284,7 @@
 		return false
 	}
 	current, ok := l.registered[p.Host]
-	return ok && current.process.ID != id
+	return ok && current.process.ID != id && current.process.Started.After(p.Started)
 }
 
 // updateRole advances the election to the present, and begins and ends this process's
--- a/leader/members_test.go
+++ b/leader/members_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/elector"
 )
 
 func proc(host pimento.HostName, id pimento.ProcessID) pimento.Process {
@@ -17,17 +18,26 @@
 // ended because a stale reading still shows its predecessor.
 func TestStaleReadingKeepsJoinedProcess(t *testing.T) {
 	is := is.New(t)
+	earlier, joined, later := proc("b", "b-1"), proc("b", "b-2"), proc("b", "b-3")
+	earlier.Started, joined.Started, later.Started = time.Unix(1, 0), time.Unix(2, 0), time.Unix(3, 0)
 	l := &Leader{Self: proc("a", "a-1"), registered: make(map[pimento.HostName]registeredProcess)}
-	l.assignment = &pimento.Assignment{Members: []pimento.Member{{Process: proc("b", "b-1")}, {Process: proc("b", "b-2")}}}
-	stale := []registeredProcess{{process: proc("b", "b-1"), revision: pimento.Revision{Number: 7}}}
+	l.Init()
+	l.elector = elector.New("a-1", elector.DefaultTiming())
+	l.assignment = &pimento.Assignment{Members: []pimento.Member{{Process: earlier}, {Process: joined}}}
+	l.term = &term{members: map[pimento.ProcessID]*member{}}
+	stale := []registeredProcess{{process: earlier, revision: pimento.Revision{Number: 7}}}
 	l.mergeProcesses(stale)
-	is.True(l.ended("b-2"))
-	l.registered["b"] = registeredProcess{process: proc("b", "b-2"), revision: l.registered["b"].revision} // b-2 joins
+	is.True(!l.ended("b-1"))
+	is.True(!l.ended("b-2")) // the reading does not show it yet
+	l.HandleJoin(joined)
+	(<-l.inbox)()
+	is.True(l.ended("b-1"))
 	l.mergeProcesses(stale)
 	is.True(!l.ended("b-2"))
 	is.True(l.ended("b-1"))
-	l.mergeProcesses([]registeredProcess{{process: proc("b", "b-3"), revision: pimento.Revision{Number: 9}}})
+	l.mergeProcesses([]registeredProcess{{process: later, revision: pimento.Revision{Number: 9}}})
 	is.True(l.ended("b-2"))
+	is.True(l.ended("b-1"))
 }
 
 // TestMembersNameAllConfirmers guards against a term that names a process which is
--- a/leader/plan.go
+++ b/leader/plan.go
@@ -131,7 +131,7 @@
 	if now.Sub(l.confirmersChangedAt) < minConfirmerChangeInterval {
 		return false
 	}
-	wanted := l.elector.NextTerm(l.liveMembers(now), l.ended)
+	wanted := l.elector.NextTerm(l.eligible(l.liveMembers(now)), l.ended)
 	present := 0
 	for _, id := range t.Confirmers {
 		m, ok := l.term.members[id]
