--- a/leader/cluster_test.go
+++ b/leader/cluster_test.go
@@ -61,6 +61,7 @@
 	kernelSends    bool                           // the kernel of a frozen host goes on sending what a cut holds up
 	lateReleases   bool                           // releases take effect late as grants do
 	keepsStore     bool                           // a store that was down is as it was
+	clockOffset    time.Duration                  // of the time of day at which processes start
 	fences         map[pimento.Key]map[pimento.UpstreamName]uint64
 	violations     []string // of exclusive ownership and the order of fences
 	goroutines     sync.WaitGroup
@@ -158,7 +159,7 @@
 	cl.mu.Lock()
 	cl.startCount++
 	p := &process{cluster: cl, quarantine: quarantiner.New(), self: pimento.Process{
-		ID: pimento.ProcessID(fmt.Sprintf("%s-%d", host, cl.startCount)), Host: host, Domain: pimento.DomainName(host[1:]), Started: time.Now(),
+		ID: pimento.ProcessID(fmt.Sprintf("%s-%d", host, cl.startCount)), Host: host, Domain: pimento.DomainName(host[1:]), Started: time.Now().Add(cl.clockOffset),
 	}}
 	p.self.Strength = 1
 	if slices.Contains(cl.strongHosts, host) {
