elector: date a new term by the write, not by its adoption

What callers saw: not seen in a record; found by reading. A leader acts for longer after the store last showed its term than its successors wait, so that two upstreams may hold the same keys.

Cause: Machine.AdoptTerm set verifiedAt, from which MaxWithoutStore counts, to the moment of the adoption. A process that freezes between the answer to its write and its adoption counts from the end of the freeze, while a successor that replaced the term meanwhile counts MaxWithoutStore from its own election. Beyond Lease + 2 Drift, 0.96 s, the authority of the first one lasts longer than the second one waits.

No two leaders were shown: a simulation of such a freeze was not written.

Change: AdoptTerm records no such moment; a new leader has no authority before RecordVerified, which writeAssignment calls with the time at which the write was sent. A leader that is elected again keeps the moment of its earlier term, which is older.

--- a/elector/machine.go
+++ b/elector/machine.go
@@ -27,6 +27,7 @@
 //
 //	m := elector.New(self, elector.DefaultTiming())
 //	m.AdoptTerm(now, term)
+//	m.RecordVerified(sentAt, term.Epoch)           // as the leader that wrote it
 //	confirmed := m.HandleHeartbeat(now, heartbeat) // as a confirmer
 //	m.HandleReply(sentAt, from, epoch, true)       // as the leader
 //	if now.Before(m.AuthorityUntil()) { ... }
@@ -116,7 +117,7 @@
 func (m *Machine) IsLeader() bool { return m.term.Leader == m.self }
 
 // AdoptTerm adopts a term if it is later than the one known here, and reports
-// whether it was.
+// whether it was. A new leader has no authority before [Machine.RecordVerified].
 func (m *Machine) AdoptTerm(now time.Time, term pimento.Term) bool {
 	if term.Epoch <= m.term.Epoch {
 		return false
@@ -128,11 +129,8 @@
 	clear(m.knowsTerm)
 	m.priorBlocked = false
 	m.knowsTerm[m.self] = true
-	if m.IsLeader() {
-		m.verifiedAt = now
-	}
 	if m.IsLeader() && !reelected {
-		m.electedAt, m.settledAt = now, time.Time{}
+		m.electedAt, m.settledAt, m.verifiedAt = now, time.Time{}, time.Time{}
 	}
 	return true
 }
@@ -209,7 +207,7 @@
 // AuthorityUntil returns the end of this process's authority to act as the
 // leader, zero if it has none.
 func (m *Machine) AuthorityUntil() time.Time {
-	if !m.IsLeader() || len(m.term.Confirmers) == 0 {
+	if !m.IsLeader() || len(m.term.Confirmers) == 0 || m.verifiedAt.IsZero() {
 		return time.Time{}
 	}
 	times := make([]time.Time, 0, len(m.term.Confirmers))
--- a/elector/machine_test.go
+++ b/elector/machine_test.go
@@ -30,6 +30,7 @@
 func newLeader(self pimento.ProcessID, epoch uint64, confirmers []pimento.ProcessID, prior ...[]pimento.ProcessID) *Machine {
 	m := New(self, DefaultTiming())
 	m.AdoptTerm(t0, pimento.Term{Epoch: epoch, Leader: self, Confirmers: confirmers, Prior: prior})
+	m.RecordVerified(t0, epoch)
 	m.Tick(t0, noneEnded)
 	return m
 }
