Test that a retry does not wait behind those that use up the budget

The mutation "retries that wait are none" went unnoticed: what waits beyond the budget is refused when its turn comes, but until then it waits in vain. TestRetryThatCannotBeSentWaits fails with it (90 retries were let in to wait, 6 were sent) and passes without.

--- a/scheduler/budget_test.go
+++ b/scheduler/budget_test.go
@@ -129,3 +129,27 @@
 		t.Errorf("%d retries of %d requests got permits in a window; allowed %d", n, slots, bound)
 	}
 }
+
+// TestRetryThatCannotBeSentWaits guards against a retry that waits for a permit although
+// those that wait before it use up the budget.
+func TestRetryThatCannotBeSentWaits(t *testing.T) {
+	a := &arrivals{
+		pool: New(Config{RetryRatio: retryRatio, RetrySlack: retrySlack, RetryWindow: retryWindow}),
+		now:  time.Unix(1_800_000_000, 0), retry: make(map[uint64]bool),
+	}
+	a.pool.SetUpstreams([]Upstream{{Server: pimento.Server{Name: "u", Slots: 1}, Usable: true}})
+	const requests = 10
+	for range requests {
+		a.offer(false)
+	}
+	waiting := 0
+	for a.offer(true) {
+		waiting++
+	}
+	for range requests + waiting {
+		a.answer()
+	}
+	if len(a.retries) != waiting {
+		t.Errorf("%d retries were let in to wait, %d were sent", waiting, len(a.retries))
+	}
+}
