--- a/leader/cluster_test.go
+++ b/leader/cluster_test.go
@@ -165,7 +165,6 @@
 	if slices.Contains(cl.strongHosts, host) {
 		p.self.Strength = 20
 	}
-	cl.processes[p.self.ID] = p
 	cl.mu.Unlock()
 	p.leader = &Leader{
 		Self: p.self, Store: p, Source: p, Peers: p, Member: simMember{p}, Grantor: p, Events: &recorder.Recorder{Process: p.self.ID},
@@ -175,6 +174,9 @@
 	p.leader.Init()
 	ctx, cancel := context.WithCancel(cl.ctx)
 	p.cancel = cancel
+	cl.mu.Lock()
+	cl.processes[p.self.ID] = p
+	cl.mu.Unlock()
 	cl.spawn(func() { p.leader.Run(ctx) })
 	cl.spawn(func() { p.register(ctx) })
 }
