--- a/upstreamfaker/request.go
+++ b/upstreamfaker/request.go
@@ -30,6 +30,9 @@
 }
 
 func (s *Server) handleRequest(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get(s.Dialect.IDHeader); id != "" {
+		w.Header().Set(s.Dialect.IDHeader, id) // refusals bear it as well
+	}
 	req, ok := s.admit(w, r)
 	if !ok {
 		return
