Choose the busiest upstreams before any of them is limited

Both are now chosen first, by ten requests to the service, and limited together as before. The checks are unchanged.

--- a/assembler/limit_test.go
+++ b/assembler/limit_test.go
@@ -88,9 +88,7 @@
 					u.Inject(faults)
 				}
 			} else {
-				for _, service := range []string{"guidebook", "partsdesk"} {
-					limited = append(limited, injectIntoBusiest(t, d, service, faults, (*upstreamfaker.Server).NamesLimit))
-				}
+				limited = injectIntoBusiest(t, d, []string{"guidebook", "partsdesk"}, faults, (*upstreamfaker.Server).NamesLimit)
 			}
 			time.Sleep(limitPeriod / 2)
 			killProcesses(d, victims)
@@ -143,13 +141,18 @@
 	}
 	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		var best *upstreamfaker.Server
-		most := 0
+		most, all := 0, 0
 		for name, u := range d.Upstreams {
-			if runs := u.Report().Runs - before[name]; strings.HasPrefix(string(name), service) && runs > most {
+			if !strings.HasPrefix(string(name), service) {
+				continue
+			}
+			runs := u.Report().Runs - before[name]
+			all += runs
+			if runs > most {
 				best, most = u, runs
 			}
 		}
-		if most >= minRuns {
+		if all >= minRuns {
 			return best
 		}
 	}
@@ -157,33 +160,55 @@
 	return nil
 }
 
-// injectIntoBusiest injects faults into the busiest upstream of a service and waits until
-// a request has met them. If none does soon, since its keys have moved or others have
+// injectIntoBusiest injects faults into the busiest upstream of each service and waits
+// until requests have met them. Where none does soon, since keys have moved or others have
 // become faster, it tries the busiest one then.
-func injectIntoBusiest(t *testing.T, d *assembler.Deployment, service string, faults upstreamfaker.Faults, met func(*upstreamfaker.Server) bool) *upstreamfaker.Server {
+func injectIntoBusiest(t *testing.T, d *assembler.Deployment, services []string, faults upstreamfaker.Faults, met func(*upstreamfaker.Server) bool) []*upstreamfaker.Server {
 	t.Helper()
-	for end := time.Now().Add(readyTimeout); time.Now().Before(end); {
-		u := busiest(t, d, service)
-		u.Inject(faults)
-		for giveUpAt := time.Now().Add(meetTimeout); time.Now().Before(giveUpAt); time.Sleep(time.Millisecond) {
-			if met(u) {
-				return u
-			}
+	var out []*upstreamfaker.Server
+	left := slices.Clone(services)
+	for end := time.Now().Add(readyTimeout); len(left) > 0; {
+		if time.Now().After(end) {
+			t.Fatalf("no upstream of %v meets a request", left)
+		}
+		chosen := make(map[string]*upstreamfaker.Server)
+		for _, service := range left {
+			chosen[service] = busiest(t, d, service)
 		}
-		u.Inject(upstreamfaker.Faults{})
-		if met(u) { // while they were taken back
+		for _, u := range chosen {
 			u.Inject(faults)
-			return u
 		}
+		haveMet := func() bool {
+			for _, u := range chosen {
+				if !met(u) {
+					return false
+				}
+			}
+			return true
+		}
+		for giveUpAt := time.Now().Add(meetTimeout); !haveMet() && time.Now().Before(giveUpAt); {
+			time.Sleep(time.Millisecond)
+		}
+		left = slices.DeleteFunc(left, func(service string) bool {
+			u := chosen[service]
+			if !met(u) {
+				u.Inject(upstreamfaker.Faults{})
+				if !met(u) {
+					return false
+				}
+				u.Inject(faults) // they were met while they were taken back
+			}
+			out = append(out, u)
+			return true
+		})
 	}
-	t.Fatalf("no upstream of %s meets a request", service)
-	return nil
+	return out
 }
 
-// meetTimeout is how long injectIntoBusiest waits for a request at one upstream.
+// meetTimeout is how long injectIntoBusiest waits for requests at its first choice.
 const meetTimeout = time.Second
 
-// minRuns is the number of requests that tell a busy upstream from the others.
+// minRuns is the number of requests to a service that tell its busiest upstream.
 const minRuns = 10
 
 // limitEntries is the number of entry processes of startDeployment.
--- a/assembler/notices_test.go
+++ b/assembler/notices_test.go
@@ -252,9 +252,9 @@
 				d := startWarmDeployment(t)
 				v := &visitor{d: d, path: s.path, keyed: s.keyed}
 				v.start()
-				u := injectIntoBusiest(t, d, s.name, upstreamfaker.Faults{TurnAway: turned, RetryAfter: "3"}, func(u *upstreamfaker.Server) bool {
+				u := injectIntoBusiest(t, d, []string{s.name}, upstreamfaker.Faults{TurnAway: turned, RetryAfter: "3"}, func(u *upstreamfaker.Server) bool {
 					return len(u.TurnedAway()) > 0
-				})
+				})[0]
 				time.Sleep(pause + time.Second)
 				v.stop()
 				for _, refusal := range u.TurnedAway() {
