Forget the owners of keys where they are not dispatched any more

A trial that prints the states shows one process with keys without a holder, by owners of version 3 where the others have 10, which is in no preference list.

Cause: the leader tells only dispatchers of changed owners. A process that leaves the list keeps what it was told last, and reports its keys without a holder for ever.

Change: such a process forgets the owners; it gets all of them if it dispatches again.

--- a/router/follower.go
+++ b/router/follower.go
@@ -95,6 +95,7 @@
 	rosterChanged := s.Roster != nil && s.Versions.Roster > f.versions.Roster
 	if rosterChanged {
 		f.roster, f.versions.Roster = s.Roster, s.Versions.Roster
+		f.dropOwners()
 	}
 	if list := s.Upstreams; list != nil && mayApply(f.versions.Upstreams, s.Versions.Upstreams, list.Whole) {
 		f.updateUpstreams(now, list)
@@ -120,6 +121,18 @@
 	}
 }
 
+// dropOwners forgets the owners of keys if this process no longer dispatches requests for
+// them: the leader tells it of no changes then. The caller holds mu.
+func (f *follower) dropOwners() {
+	for service := range f.owners {
+		pools := slices.DeleteFunc(slices.Clone(f.roster.Pools), func(p pimento.Pool) bool { return p.Service != service })
+		if len(pools) != 1 || slices.Contains(pools[0].PreferenceList, f.router.self.ID) {
+			return
+		}
+	}
+	f.owners, f.versions.Owners = nil, 0
+}
+
 // mayApply reports whether a part of the state with the version next applies to
 // the version known here: it is newer and, unless it is whole, some is known.
 func mayApply(known, next uint64, whole bool) bool {
