Tell callers of refused retries when to come back

Cause: the refusal of a retry for which there is no budget named no time after which to retry. Since a new dispatcher gets the fixed allowance a window later, more are refused.

--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -208,7 +208,7 @@
 	case t.Again:
 	case t.Retry:
 		if !p.budget.allows(now, p.waitingRetries()+1) {
-			return []Decision{{Ticket: t.ID, Refusal: retryRefusal()}}
+			return []Decision{{Ticket: t.ID, Refusal: p.refuseRetry()}}
 		}
 	default:
 		p.budget.recordRequest(now)
@@ -234,9 +234,15 @@
 	return n
 }
 
-// retryRefusal returns the refusal of a retry for which there is no budget.
-func retryRefusal() *pimento.OutcomeError {
-	return pimento.NotRun(pimento.ReasonRetryBudget, "the repeats of this service are used up")
+// retryBudgetWait is the delay after which callers of refused retries should come back:
+// theirs are new requests, which use no budget.
+const retryBudgetWait = 200 * time.Millisecond
+
+// refuseRetry returns the refusal of a retry for which there is no budget.
+func (p *Pool) refuseRetry() *pimento.OutcomeError {
+	out := p.refuse(retryBudgetWait, "the repeats of this service are used up")
+	out.Reason = pimento.ReasonRetryBudget
+	return out
 }
 
 // Cancel removes a request whose caller no longer waits for it.
--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -85,7 +85,7 @@
 				continue
 			}
 			if t.countsAsRetry() && !p.budget.allowRetry(now) {
-				out = append(out, Decision{Ticket: t.ID, Refusal: retryRefusal()})
+				out = append(out, Decision{Ticket: t.ID, Refusal: p.refuseRetry()})
 				continue
 			}
 			expected := p.expectedDuration(now, t, u)
