--- a/admitter/notices.go
+++ b/admitter/notices.go
@@ -42,8 +42,7 @@
 
 // checkSend returns the error of a request to an upstream that has told this process that
 // it leaves or wants nothing now, or that takes no new work or is gone as far as is known
-// here. It is
-// asked right before a request is written, whatever permit that has.
+// here. It is asked right before a request is written, whatever permit that has.
 func (a *Admitter) checkSend(s pimento.Server) error {
 	now := timekeeper.Now()
 	a.mu.Lock()
