Drop a field that nothing reads

readFromStore was asked for readiness, which asks for the upstreams themselves since "Be ready while the known upstreams are served". Package router passes; no behaviour changes.

--- a/router/follower.go
+++ b/router/follower.go
@@ -38,15 +38,14 @@
 	roster           *messenger.Roster
 	owners           map[pimento.ServiceName][]scheduler.Owner
 
-	upstreams     map[pimento.UpstreamName]pimento.Server // in force
-	domainsOut    []pimento.DomainName                    // that get no work
-	sent          sentUpstreams                           // versions.Upstreams is the version
-	own           *leader.OwnList                         // in force instead of sent; nil: sent is in force
-	confirmed     leader.UpstreamsRead                    // the last that the leader has told of
-	upstreamsAt   time.Time                               // when those in force were certainly the newest, on the clock of timekeeper; zero: never
-	upstreamsEra  uint64                                  // of the store then
-	upstreamsDue  time.Time                               // when to read them, unless the leader confirms them before
-	readFromStore bool                                    // upstreams were read from the store
+	upstreams    map[pimento.UpstreamName]pimento.Server // in force
+	domainsOut   []pimento.DomainName                    // that get no work
+	sent         sentUpstreams                           // versions.Upstreams is the version
+	own          *leader.OwnList                         // in force instead of sent; nil: sent is in force
+	confirmed    leader.UpstreamsRead                    // the last that the leader has told of
+	upstreamsAt  time.Time                               // when those in force were certainly the newest, on the clock of timekeeper; zero: never
+	upstreamsEra uint64                                  // of the store then
+	upstreamsDue time.Time                               // when to read them, unless the leader confirms them before
 }
 
 // Versions implements leader.Member.
--- a/router/upstreams.go
+++ b/router/upstreams.go
@@ -300,7 +300,6 @@
 		f.mu.Unlock()
 		return
 	}
-	f.readFromStore = true
 	f.dateUpstreams(f.own.ReadAt(), f.router.storeEra.Load())
 	f.putInForce()
 	snapshot := f.snapshot()
