--- /dev/null
+++ b/review/stand/instance.go
@@ -0,0 +1,154 @@
+package main
+
+import (
+	"bufio"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// The headers of the platform's wire.
+const (
+	headerAttempt   = "Pimentorelay-Attempt-Id"
+	headerDeadline  = "Pimentorelay-Deadline-Ms"
+	headerTarget    = "Pimentorelay-Target-Instance"
+	headerInstance  = "Pimentorelay-Instance-Id"
+	headerNotRun    = "Pimentorelay-Not-Executed"
+	headerLoad      = "Pimentorelay-Server-Load"
+	headerSignature = "Pimentorelay-Response-Signature"
+)
+
+// run is a request that an instance ran.
+type run struct {
+	instance string
+	attempt  string
+	bytes    int64
+	digest   string // SHA-256 of the body, hexadecimal
+}
+
+// instance is a stand-in for a server of one service. It reads a whole request, works
+// on it and answers it.
+type instance struct {
+	id      string
+	service string
+	zone    string
+	slots   int
+	work    time.Duration
+	record  *record
+	// reject reports whether a request is rejected before its body is in, as by a
+	// server that is full. It may be nil.
+	reject func(attempt string) bool
+
+	mu   sync.Mutex
+	runs []run
+	busy chan struct{}
+	l    net.Listener
+}
+
+// start listens and serves.
+func (s *instance) start() error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	s.l, s.busy = l, make(chan struct{}, s.slots)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c)
+		}
+	}()
+	return nil
+}
+
+// entry returns the entry of the instance in the store.
+func (s *instance) entry() map[string]any {
+	return map[string]any{
+		"service": s.service, "address": s.l.Addr().String(), "zone": s.zone, "version": "v1",
+		"max_concurrency": s.slots, "state": "ready", "warmup_left_s": 0, "seq": 1,
+	}
+}
+
+// serve serves the requests of one connection.
+func (s *instance) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if err := s.handle(c, req); err != nil {
+			return
+		}
+	}
+}
+
+// handle answers one request and reads it to its end.
+func (s *instance) handle(c net.Conn, req *http.Request) error {
+	id := req.Header.Get(headerAttempt)
+	switch {
+	case req.URL.Path == "/healthz":
+		return s.answer(c, id, 200, "", "")
+	case req.Header.Get(headerTarget) != s.id:
+		return s.rejectRequest(c, req, id, 421)
+	case id == "":
+		return s.rejectRequest(c, req, id, 400)
+	case s.reject != nil && s.reject(id):
+		return s.rejectRequest(c, req, id, 503)
+	}
+	sum := sha256.New()
+	n, err := io.Copy(sum, req.Body)
+	if err != nil {
+		s.record.printf("instance %s: attempt %s: the body broke off after %d bytes: %v", s.id, id, n, err)
+		return err // such a request does not run
+	}
+	digest := hex.EncodeToString(sum.Sum(nil))
+	s.mu.Lock()
+	s.runs = append(s.runs, run{instance: s.id, attempt: id, bytes: n, digest: digest})
+	s.mu.Unlock()
+	s.record.printf("instance %s: attempt %s: run with a body of %d bytes, SHA-256 %s", s.id, id, n, digest)
+	s.busy <- struct{}{}
+	time.Sleep(s.work)
+	<-s.busy
+	return s.answer(c, id, 200, fmt.Sprintf("done by %s\n", s.id), "")
+}
+
+// rejectRequest answers that a request is not run, and then reads on what is still due
+// of it, so that the connection can be kept.
+func (s *instance) rejectRequest(c net.Conn, req *http.Request, id string, status int) error {
+	s.record.printf("instance %s: attempt %s: rejected with %d", s.id, id, status)
+	if err := s.answer(c, id, status, "", headerNotRun+": 1\r\n"); err != nil {
+		return err
+	}
+	_, err := io.Copy(io.Discard, req.Body)
+	return err
+}
+
+// answer writes an answer.
+func (s *instance) answer(w io.Writer, id string, status int, body, extra string) error {
+	if id != "" {
+		extra += headerAttempt + ": " + id + "\r\n"
+		if status == 200 {
+			extra += headerSignature + ": " + id + "." + s.id + "\r\n"
+		}
+	}
+	_, err := fmt.Fprintf(w, "HTTP/1.1 %d %s\r\n%s: %s\r\n%s: %d,0,%d\r\nKeep-Alive: timeout=10\r\n%sContent-Length: %d\r\n\r\n%s",
+		status, http.StatusText(status), headerInstance, s.id, headerLoad, len(s.busy), s.slots, extra, len(body), body)
+	return err
+}
+
+// allRuns returns what the instance has run.
+func (s *instance) allRuns() []run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]run(nil), s.runs...)
+}
