--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -61,11 +62,7 @@
 		return nil, err
 	}
 	f := &fleet{dir: dir, program: program, record: rec, store: storefaker.New()}
-	time.AfterFunc(playTimeout, func() {
-		rec.printf("the case took more than %s", playTimeout)
-		f.stop()
-		os.Exit(2)
-	})
+	f.stopWhenTold()
 	f.closers = append(f.closers, func() { os.RemoveAll(dir) })
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -86,6 +83,22 @@
 	return f, nil
 }
 
+// stopWhenTold ends all processes and the program after playTimeout, or at a signal.
+func (f *fleet) stopWhenTold() {
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		select {
+		case s := <-told:
+			f.record.printf("the case was ended by a signal: %s", s)
+		case <-time.After(playTimeout):
+			f.record.printf("the case took more than %s", playTimeout)
+		}
+		f.stop()
+		os.Exit(2)
+	}()
+}
+
 func zoneName(i int) string { return fmt.Sprintf("zone-%d", i+1) }
 
 // choosePorts chooses free ports of the machine's address.
--- a/review/stand/instance.go
+++ b/review/stand/instance.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -43,8 +45,16 @@
 	// reject reports whether a request is rejected before its body is in, as by a
 	// server that is full. It may be nil.
 	reject func(attempt string) bool
+	// answerBytes is the length of the answers, zero for a short text.
+	answerBytes int
+	// repeats reports whether an answer is sent once more, late: in front of the next
+	// answer of its connection. It may be nil.
+	repeats func(attempt string) bool
+	// sharded makes the instance run only requests whose key it holds.
+	sharded bool
 
 	mu   sync.Mutex
+	keys holdings
 	runs []run
 	busy chan struct{}
 	l    net.Listener
@@ -81,27 +91,44 @@
 func (s *instance) serve(c net.Conn) {
 	defer c.Close()
 	r := bufio.NewReader(c)
+	var late []byte // a second answer
 	for {
 		req, err := http.ReadRequest(r)
 		if err != nil {
 			return
 		}
-		if err := s.handle(c, req); err != nil {
+		if len(late) > 0 {
+			s.record.printf("instance %s: sends a second, late answer in front of that to %s", s.id, req.Header.Get(headerAttempt))
+			if _, err := c.Write(late); err != nil {
+				return
+			}
+		}
+		sent := &bytes.Buffer{}
+		out := io.Writer(c)
+		if id := req.Header.Get(headerAttempt); id != "" && s.repeats != nil && s.repeats(id) {
+			out = io.MultiWriter(c, sent)
+		}
+		if err := s.handle(out, req); err != nil {
 			return
 		}
+		late = sent.Bytes()
 	}
 }
 
 // handle answers one request and reads it to its end.
-func (s *instance) handle(c net.Conn, req *http.Request) error {
+func (s *instance) handle(c io.Writer, req *http.Request) error {
 	id := req.Header.Get(headerAttempt)
 	switch {
 	case req.URL.Path == "/healthz":
 		return s.answer(c, id, 200, "", "")
 	case req.Header.Get(headerTarget) != s.id:
 		return s.rejectRequest(c, req, id, 421)
+	case req.URL.Path == "/pimentorelay/grant" || req.URL.Path == "/pimentorelay/release":
+		return s.control(c, req)
 	case id == "":
 		return s.rejectRequest(c, req, id, 400)
+	case s.sharded && !s.holds(req):
+		return s.rejectRequest(c, req, id, 421)
 	case s.reject != nil && s.reject(id):
 		return s.rejectRequest(c, req, id, 503)
 	}
@@ -119,12 +146,20 @@
 	s.busy <- struct{}{}
 	time.Sleep(s.work)
 	<-s.busy
-	return s.answer(c, id, 200, fmt.Sprintf("done by %s\n", s.id), "")
+	body := fmt.Sprintf("done by %s\n", s.id)
+	if s.answerBytes > 0 {
+		body = strings.Repeat("x", s.answerBytes)
+	}
+	err = s.answer(c, id, 200, body, "")
+	if err != nil {
+		s.record.printf("instance %s: attempt %s: its answer was not taken: %v", s.id, id, err)
+	}
+	return err
 }
 
 // rejectRequest answers that a request is not run, and then reads on what is still due
 // of it, so that the connection can be kept.
-func (s *instance) rejectRequest(c net.Conn, req *http.Request, id string, status int) error {
+func (s *instance) rejectRequest(c io.Writer, req *http.Request, id string, status int) error {
 	s.record.printf("instance %s: attempt %s: rejected with %d", s.id, id, status)
 	if err := s.answer(c, id, status, "", headerNotRun+": 1\r\n"); err != nil {
 		return err
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -18,7 +18,10 @@
 
 // cases are the cases by name. A case returns how often its rule was broken.
 var cases = map[string]func(*setup) (int, error){
-	"upload": playUpload,
+	"drain":    playDrain,
+	"late":     playLate,
+	"slowline": playSlowLine,
+	"upload":   playUpload,
 }
 
 // setup is what every case needs.
--- a/review/stand/upload.go
+++ b/review/stand/upload.go
@@ -4,8 +4,8 @@
 	"bufio"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"fmt"
-	"hash/fnv"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -17,40 +17,23 @@
 
 const (
 	// uploads is how many uploads are sent to each machine, one after the other.
-	uploads = 30
+	uploads = 50
 	// uploadBytes, pieceBytes and piecePause make an upload of about 5 Mbit/s.
 	uploadBytes = 256 << 10
 	pieceBytes  = 16 << 10
 	piecePause  = 25 * time.Millisecond
 	// uploadTimeLimit is the consumer's time limit.
 	uploadTimeLimit = 5 * time.Second
+	// earlyFor is how long servers reject requests at a time, earlyPause the time between.
+	earlyFor   = 6 * time.Second
+	earlyPause = 3 * time.Second
 	// rejectedShare is the share of requests that a faulty server rejects before they
 	// are in.
 	rejectedShare = 0.4
 )
 
-// uploadManifest has one route for uploads, like those of the smaller site files.
-var uploadManifest = map[string]any{
-	"version": "00000007",
-	"routes": map[string]any{
-		"columns": []string{"name", "host", "path_prefix", "kind", "timeout_s", "target_latency_s", "priority", "weighted_services", "max_attempts", "service"},
-		"rows":    [][]any{{"r-video", "video.example", "/video/", "upload", 4.5, 0.8, 1, nil, 2, "runreel"}},
-	},
-	"services": map[string]any{
-		"columns": []string{"name", "health_path", "max_conns", "protocol", "tls", "warmup_s", "warmup_per_s", "sharded", "warm_s", "grants"},
-		"rows":    [][]any{{"runreel", "/healthz", 110, "h1", false, 3.0, 5.0, nil, nil, nil}},
-	},
-	"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_s": 3, "idle_timeout_s": 15},
-}
-
-// rejectsEarly chooses the rejected requests by a hash of the attempt and the server.
-func rejectsEarly(server string) func(string) bool {
-	return func(attempt string) bool {
-		h := fnv.New32a()
-		io.WriteString(h, attempt+server)
-		return float64(h.Sum32()%1000) < 1000*rejectedShare
-	}
-}
+// uploadRoute is a route for uploads, like those of the smaller site files.
+var uploadRoute = []any{"r-video", "video.example", "/video/", "upload", 4.5, 0.8, 1, nil, 2, "runreel"}
 
 // playUpload sends uploads in chunks on lines of some Mbit/s. Most servers of the
 // service reject a part of the requests before they are in. The rule is UNASKED: no
@@ -63,12 +46,13 @@
 	if err != nil {
 		return 0, err
 	}
-	f.store.Put("config", "main", uploadManifest)
+	f.store.Put("config", "main", manifest(uploadRoute, "runreel", false))
+	w := &windows{on: earlyFor, off: earlyPause}
 	var servers []*instance
 	for i := range 8 {
 		server := &instance{id: fmt.Sprintf("i-%d", i+1), service: "runreel", zone: zoneName(i % 3), slots: 4, work: 100 * time.Millisecond, record: s.record}
 		if s.trouble && i < 5 {
-			server.reject = rejectsEarly(server.id)
+			server.reject = func(attempt string) bool { return w.active() && chosen("early "+server.id+attempt, rejectedShare) }
 		}
 		if err := server.start(); err != nil {
 			return 0, err
@@ -80,6 +64,7 @@
 		return 0, err
 	}
 	time.Sleep(2 * time.Second)
+	w.start()
 	sent := sendUploads(f)
 	return checkBodies(s.record, servers, sent)
 }
@@ -177,7 +162,7 @@
 	}
 	rec.printf("%d attempts sent, %d answered 200, %d runs, %d with a changed body", len(sent.digests), sent.answered, runs, changed)
 	if runs == 0 {
-		return 0, fmt.Errorf("nothing ran")
+		return 0, errors.New("nothing ran")
 	}
 	return changed, nil
 }
