--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# SIGTERM to a machine, while consumers read answers from it on slow lines.
+cd "$(dirname "$0")/../.." || exit 2
+exec target/review-stand --record review/3/record.txt slowline
