--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# SIGTERM to a machine, while consumers read answers from it on slow lines.
+# Servers are replaced one after the other, and some send a second answer late.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-stand --record review/3/record.txt slowline
+exec target/review-stand --record review/3/record.txt control
--- a/review/stand/instance.go
+++ b/review/stand/instance.go
@@ -50,14 +50,20 @@
 	// repeats reports whether an answer is sent once more, late: in front of the next
 	// answer of its connection. It may be nil.
 	repeats func(attempt string) bool
+	// repeatsControl is repeats for the answers to grants and releases.
+	repeatsControl func() bool
+	// onGrant is called for each grant that the instance takes; it may be nil.
+	onGrant func(o order)
 	// sharded makes the instance run only requests whose key it holds.
 	sharded bool
 
-	mu   sync.Mutex
-	keys holdings
-	runs []run
-	busy chan struct{}
-	l    net.Listener
+	mu      sync.Mutex
+	keys    holdings
+	atWork  map[int]int   // requests that run, by key
+	changed chan struct{} // closed when a request has ended
+	runs    []run
+	busy    chan struct{}
+	l       net.Listener
 }
 
 // start listens and serves.
@@ -67,6 +73,7 @@
 		return err
 	}
 	s.l, s.busy = l, make(chan struct{}, s.slots)
+	s.atWork, s.changed = make(map[int]int), make(chan struct{})
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -105,7 +112,7 @@
 		}
 		sent := &bytes.Buffer{}
 		out := io.Writer(c)
-		if id := req.Header.Get(headerAttempt); id != "" && s.repeats != nil && s.repeats(id) {
+		if s.repeatsAnswer(req) {
 			out = io.MultiWriter(c, sent)
 		}
 		if err := s.handle(out, req); err != nil {
@@ -115,6 +122,14 @@
 	}
 }
 
+// repeatsAnswer reports whether the answer to a request is sent once more.
+func (s *instance) repeatsAnswer(req *http.Request) bool {
+	if id := req.Header.Get(headerAttempt); id != "" {
+		return s.repeats != nil && s.repeats(id)
+	}
+	return isControl(req) && s.repeatsControl != nil && s.repeatsControl()
+}
+
 // handle answers one request and reads it to its end.
 func (s *instance) handle(c io.Writer, req *http.Request) error {
 	id := req.Header.Get(headerAttempt)
@@ -123,12 +138,10 @@
 		return s.answer(c, id, 200, "", "")
 	case req.Header.Get(headerTarget) != s.id:
 		return s.rejectRequest(c, req, id, 421)
-	case req.URL.Path == "/pimentorelay/grant" || req.URL.Path == "/pimentorelay/release":
+	case isControl(req):
 		return s.control(c, req)
 	case id == "":
 		return s.rejectRequest(c, req, id, 400)
-	case s.sharded && !s.holds(req):
-		return s.rejectRequest(c, req, id, 421)
 	case s.reject != nil && s.reject(id):
 		return s.rejectRequest(c, req, id, 503)
 	}
@@ -139,13 +152,16 @@
 		return err // such a request does not run
 	}
 	digest := hex.EncodeToString(sum.Sum(nil))
+	done, held := s.begin(req)
+	if !held {
+		return s.rejectRequest(c, req, id, http.StatusMisdirectedRequest)
+	}
 	s.mu.Lock()
 	s.runs = append(s.runs, run{instance: s.id, attempt: id, bytes: n, digest: digest})
 	s.mu.Unlock()
 	s.record.printf("instance %s: attempt %s: run with a body of %d bytes, SHA-256 %s", s.id, id, n, digest)
-	s.busy <- struct{}{}
 	time.Sleep(s.work)
-	<-s.busy
+	done()
 	body := fmt.Sprintf("done by %s\n", s.id)
 	if s.answerBytes > 0 {
 		body = strings.Repeat("x", s.answerBytes)
--- a/review/stand/keys.go
+++ b/review/stand/keys.go
@@ -16,8 +16,9 @@
 
 // holding is what an instance knows of one key.
 type holding struct {
-	fence uint64    // highest seen
-	until time.Time // end of the hold
+	fence   uint64    // highest seen
+	until   time.Time // end of the hold, zero once released
+	granted time.Time // end of the hold as it was granted
 }
 
 // holdings are the keys of an instance.
@@ -31,15 +32,38 @@
 	HoldS float64 `json:"hold_s"`
 }
 
-// holds reports whether the instance holds the key of a request.
-func (s *instance) holds(req *http.Request) bool {
+// isControl reports whether a call is a grant or a release.
+func isControl(req *http.Request) bool {
+	return req.URL.Path == "/pimentorelay/grant" || req.URL.Path == "/pimentorelay/release"
+}
+
+// begin waits for a slot and begins a request if the instance holds its key. done ends it.
+func (s *instance) begin(req *http.Request) (done func(), held bool) {
+	s.busy <- struct{}{}
+	if !s.sharded {
+		return func() { <-s.busy }, true
+	}
 	key, err := strconv.Atoi(req.Header.Get(headerKey))
-	if err != nil || key < 0 || key >= keyCount {
-		return false
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil || key < 0 || key >= keyCount || !time.Now().Before(s.keys[key].until) {
+		<-s.busy
+		return nil, false
 	}
+	s.atWork[key]++
+	return func() { s.end(key) }, true
+}
+
+// end ends a request.
+func (s *instance) end(key int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return time.Now().Before(s.keys[key].until)
+	if s.atWork[key]--; s.atWork[key] == 0 {
+		delete(s.atWork, key)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	<-s.busy
 }
 
 // control carries out a grant or a release. A hold counts from the arrival of its call.
@@ -58,22 +82,53 @@
 
 func (s *instance) grant(arrived time.Time, o order) int {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	for k := o.From; k <= o.To; k++ {
 		if s.keys[k].fence > o.Fence {
+			s.mu.Unlock()
 			return http.StatusConflict
 		}
 	}
+	until := arrived.Add(time.Duration(o.HoldS * float64(time.Second)))
 	for k := o.From; k <= o.To; k++ {
-		s.keys[k] = holding{fence: o.Fence, until: arrived.Add(time.Duration(o.HoldS * float64(time.Second)))}
+		s.keys[k] = holding{fence: o.Fence, until: until, granted: until}
+	}
+	s.mu.Unlock()
+	if s.onGrant != nil {
+		s.onGrant(o)
 	}
 	return http.StatusOK
 }
 
+// release stops new work on keys at once, and returns when that which runs has ended.
 func (s *instance) release(o order) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	for k := o.From; k <= o.To; k++ {
-		s.keys[k] = holding{fence: max(s.keys[k].fence, o.Fence)}
+		s.keys[k] = holding{fence: max(s.keys[k].fence, o.Fence), granted: s.keys[k].granted}
+	}
+	s.mu.Unlock()
+	for {
+		s.mu.Lock()
+		working, changed := false, s.changed
+		for k := range s.atWork {
+			working = working || k >= o.From && k <= o.To
+		}
+		s.mu.Unlock()
+		if !working {
+			return
+		}
+		<-changed
+	}
+}
+
+// workingOn returns a key of a range at which the instance is at work although the hold
+// that it had has not run out.
+func (s *instance) workingOn(o order) (key int, found bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k := range s.atWork {
+		if k >= o.From && k <= o.To && time.Now().Before(s.keys[k].granted) {
+			return k, true
+		}
 	}
+	return 0, false
 }
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -18,6 +18,7 @@
 
 // cases are the cases by name. A case returns how often its rule was broken.
 var cases = map[string]func(*setup) (int, error){
+	"control":  playControl,
 	"drain":    playDrain,
 	"late":     playLate,
 	"slowline": playSlowLine,
