--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Uploads in chunks, while servers reject a part of the requests before they are in.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-stand --record review/1/record.txt upload
+exec target/review-stand --record review/2/record.txt upload
