--- a/review/stand/control.go
+++ b/review/stand/control.go
@@ -4,21 +4,27 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
 
 const (
 	// controlFor is how long consumers send requests, and servers are replaced.
-	controlFor = 92 * time.Second
+	controlFor = 88 * time.Second
 	// controlServers is how many servers there are.
 	controlServers = 10
 	// repeatFor is how long servers send second answers at a time, repeatPause the time
 	// between.
 	repeatFor   = 5 * time.Second
 	repeatPause = time.Second
-	// replaceEvery is the time between two servers that leave.
+	// replaceCount servers leave at a time, replaceEvery one after the other, with
+	// replacePause in between.
+	replaceCount = 4
 	replaceEvery = 1300 * time.Millisecond
+	replacePause = 2 * time.Second
+	// coldFor is how long a server is cold that starts during traffic.
+	coldFor = 3 * time.Second
 	// leaveAfter is how long a server goes on after it has reported that it leaves.
 	leaveAfter = 6 * time.Second
 	// controlSenders is how many consumers send requests one after the other to each
@@ -35,8 +41,9 @@
 	late  windows // when second answers are sent
 
 	mu      sync.Mutex
-	all     []*instance // also those that have left
-	servers []*instance // that have not
+	all     []*instance     // that are up
+	servers []*instance     // that do not leave
+	counted map[uint64]bool // fences of the grants that broke the rule
 	started int
 	broken  int
 }
@@ -53,7 +60,7 @@
 		return 0, err
 	}
 	f.store.Put("config", "main", manifest(orderRoute, "guidebook", true))
-	r := &replacement{setup: s, fleet: f, late: windows{on: repeatFor, off: repeatPause}}
+	r := &replacement{setup: s, fleet: f, counted: make(map[uint64]bool), late: windows{on: repeatFor, off: repeatPause}}
 	for range controlServers {
 		if err := r.add(); err != nil {
 			return 0, err
@@ -62,7 +69,6 @@
 	if err := f.startAll(); err != nil {
 		return 0, err
 	}
-	time.Sleep(6 * time.Second)
 	r.late.start()
 	o := &orders{statuses: make(map[string]int)}
 	var all sync.WaitGroup
@@ -76,8 +82,11 @@
 			})
 		}
 	}
-	for time.Now().Before(end.Add(-leaveAfter)) {
+	for n := 1; time.Now().Before(end.Add(-leaveAfter)); n++ {
 		time.Sleep(replaceEvery)
+		if n%replaceCount == 0 {
+			time.Sleep(replacePause)
+		}
 		if err := r.replace(); err != nil {
 			return 0, err
 		}
@@ -104,10 +113,23 @@
 	r.mu.Lock()
 	r.servers, r.all = append(r.servers, s), append(r.all, s)
 	r.mu.Unlock()
+	if n > controlServers {
+		s.coldUntil = time.Now().Add(coldFor)
+		time.AfterFunc(coldFor, func() { r.report(s) })
+	}
 	r.fleet.store.Put("servers", s.id, s.entry())
 	return nil
 }
 
+// report writes the entry of a server that is warm now, unless it leaves.
+func (r *replacement) report(s *instance) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if slices.Contains(r.servers, s) {
+		r.fleet.store.Put("servers", s.id, s.entry())
+	}
+}
+
 // replace starts a server, and lets the oldest one leave.
 func (r *replacement) replace() error {
 	if err := r.add(); err != nil {
@@ -121,11 +143,19 @@
 	entry["state"] = "draining"
 	r.fleet.store.Put("servers", oldest.id, entry)
 	r.setup.record.printf("instance %s: draining", oldest.id)
-	time.AfterFunc(leaveAfter, func() { r.fleet.store.Remove("servers", oldest.id) })
+	time.AfterFunc(leaveAfter, func() { r.remove(oldest) })
 	return nil
 }
 
-// check checks a grant that a server has taken.
+// remove removes a server that has left.
+func (r *replacement) remove(s *instance) {
+	r.fleet.store.Remove("servers", s.id)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all = slices.DeleteFunc(r.all, func(x *instance) bool { return x == s })
+}
+
+// check checks a grant that a server has taken. A renewal of a grant is not counted again.
 func (r *replacement) check(to *instance, o order) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -133,7 +163,8 @@
 		if s == to {
 			continue
 		}
-		if key, found := s.workingOn(o); found {
+		if key, found := s.workingOn(o); found && !r.counted[o.Fence] {
+			r.counted[o.Fence] = true
 			r.broken++
 			r.setup.record.printf("OWNER: instance %s was granted keys %d to %d with fence %d while %s is at work on key %d", to.id, o.From, o.To, o.Fence, s.id, key)
 		}
--- a/review/stand/drain.go
+++ b/review/stand/drain.go
@@ -114,7 +114,6 @@
 	if err := f.startAll(); err != nil {
 		return f, nil, err
 	}
-	time.Sleep(2 * time.Second)
 	return f, servers, nil
 }
 
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -25,6 +25,8 @@
 	// stopTimeout bounds the time until a machine has ended after a kill.
 	stopTimeout  = 5 * time.Second
 	pollInterval = 50 * time.Millisecond
+	// leadTime is the time from the start of the machines to that of the traffic.
+	leadTime = 8 * time.Second
 	// playTimeout bounds a whole case.
 	playTimeout = 110 * time.Second
 )
@@ -178,14 +180,19 @@
 	return nil
 }
 
-// startAll starts all processes and waits until they are ready.
+// startAll starts all processes, and waits until they are ready and leadTime is over.
 func (f *fleet) startAll() error {
+	began := time.Now()
 	for _, m := range f.machines {
 		if err := f.start(m); err != nil {
 			return err
 		}
 	}
-	return f.awaitReady()
+	if err := f.awaitReady(); err != nil {
+		return err
+	}
+	time.Sleep(time.Until(began.Add(leadTime)))
+	return nil
 }
 
 // awaitReady waits until all machines are ready.
--- a/review/stand/instance.go
+++ b/review/stand/instance.go
@@ -54,6 +54,8 @@
 	repeatsControl func() bool
 	// onGrant is called for each grant that the instance takes; it may be nil.
 	onGrant func(o order)
+	// coldUntil is when an instance that started during traffic is warm.
+	coldUntil time.Time
 	// sharded makes the instance run only requests whose key it holds.
 	sharded bool
 
@@ -64,6 +66,7 @@
 	runs    []run
 	busy    chan struct{}
 	l       net.Listener
+	born    time.Time
 }
 
 // start listens and serves.
@@ -73,6 +76,7 @@
 		return err
 	}
 	s.l, s.busy = l, make(chan struct{}, s.slots)
+	s.born = time.Now()
 	s.atWork, s.changed = make(map[int]int), make(chan struct{})
 	go func() {
 		for {
@@ -90,10 +94,14 @@
 func (s *instance) entry() map[string]any {
 	return map[string]any{
 		"service": s.service, "address": s.l.Addr().String(), "zone": s.zone, "version": "v1",
-		"max_concurrency": s.slots, "state": "ready", "warmup_left_s": 0, "seq": 1,
+		"max_concurrency": s.slots, "state": "ready", "warmup_left_s": s.coldLeft().Seconds(), "seq": 1,
+		"born": s.born.UnixMilli(),
 	}
 }
 
+// coldLeft returns how much longer the instance is cold.
+func (s *instance) coldLeft() time.Duration { return max(0, time.Until(s.coldUntil)) }
+
 // serve serves the requests of one connection.
 func (s *instance) serve(c net.Conn) {
 	defer c.Close()
@@ -135,7 +143,7 @@
 	id := req.Header.Get(headerAttempt)
 	switch {
 	case req.URL.Path == "/healthz":
-		return s.answer(c, id, 200, "", "")
+		return s.answer(c, id, 200, "", fmt.Sprintf("Pimentorelay-Warmup-Ms: %d\r\n", s.coldLeft().Milliseconds()))
 	case req.Header.Get(headerTarget) != s.id:
 		return s.rejectRequest(c, req, id, 421)
 	case isControl(req):
--- a/review/stand/late.go
+++ b/review/stand/late.go
@@ -70,7 +70,6 @@
 	if err := f.startAll(); err != nil {
 		return 0, err
 	}
-	time.Sleep(6 * time.Second)
 	w.start()
 	o := &orders{statuses: make(map[string]int)}
 	var all sync.WaitGroup
--- a/review/stand/upload.go
+++ b/review/stand/upload.go
@@ -63,7 +63,6 @@
 	if err := f.startAll(); err != nil {
 		return 0, err
 	}
-	time.Sleep(2 * time.Second)
 	w.start()
 	sent := sendUploads(f)
 	return checkBodies(s.record, servers, sent)
