review: keys move on from a server that started again and still holds them

A server crashes, starts again under its id, takes renewals that are meant for the run before, checks in and is cut off; its keys then go to another server at once.

--- a/review/stand/instance.go
+++ b/review/stand/instance.go
@@ -50,8 +50,6 @@
 	// repeats reports whether an answer is sent once more, late: in front of the next
 	// answer of its connection. It may be nil.
 	repeats func(attempt string) bool
-	// repeatsControl is repeats for the answers to grants and releases.
-	repeatsControl func() bool
 	// onGrant is called for each grant that the instance takes; it may be nil.
 	onGrant func(o order)
 	// coldUntil is when an instance that started during traffic is warm.
@@ -66,34 +64,65 @@
 	runs    []run
 	busy    chan struct{}
 	l       net.Listener
+	address string
+	conns   map[net.Conn]bool
 	born    time.Time
 }
 
-// start listens and serves.
-func (s *instance) start() error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// start listens at a free port and serves.
+func (s *instance) start() error { return s.startAt("127.0.0.1:0") }
+
+// startAt listens at an address and serves.
+func (s *instance) startAt(address string) error {
+	s.busy = make(chan struct{}, s.slots)
+	s.born = time.Now()
+	s.atWork, s.changed = make(map[int]int), make(chan struct{})
+	s.address = address
+	return s.reconnect()
+}
+
+// reconnect listens at the address of the instance.
+func (s *instance) reconnect() error {
+	l, err := net.Listen("tcp", s.address)
 	if err != nil {
 		return err
 	}
-	s.l, s.busy = l, make(chan struct{}, s.slots)
-	s.born = time.Now()
-	s.atWork, s.changed = make(map[int]int), make(chan struct{})
+	s.mu.Lock()
+	s.l, s.address, s.conns = l, l.Addr().String(), make(map[net.Conn]bool)
+	s.mu.Unlock()
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
+			s.mu.Lock()
+			s.conns[c] = true
+			s.mu.Unlock()
 			go s.serve(c)
 		}
 	}()
 	return nil
 }
 
+// disconnect resets all connections, and refuses new ones.
+func (s *instance) disconnect() {
+	s.l.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			// It may have been closed already.
+			_ = tcp.SetLinger(0)
+		}
+		c.Close()
+	}
+}
+
 // entry returns the entry of the instance in the store.
 func (s *instance) entry() map[string]any {
 	return map[string]any{
-		"service": s.service, "address": s.l.Addr().String(), "zone": s.zone, "version": "v1",
+		"service": s.service, "address": s.address, "zone": s.zone, "version": "v1",
 		"max_concurrency": s.slots, "state": "ready", "warmup_left_s": s.coldLeft().Seconds(), "seq": 1,
 		"born": s.born.UnixMilli(),
 	}
@@ -104,7 +133,7 @@
 
 // serve serves the requests of one connection.
 func (s *instance) serve(c net.Conn) {
-	defer c.Close()
+	defer s.drop(c)
 	r := bufio.NewReader(c)
 	var late []byte // a second answer
 	for {
@@ -130,12 +159,18 @@
 	}
 }
 
+// drop closes a connection.
+func (s *instance) drop(c net.Conn) {
+	c.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
 // repeatsAnswer reports whether the answer to a request is sent once more.
 func (s *instance) repeatsAnswer(req *http.Request) bool {
-	if id := req.Header.Get(headerAttempt); id != "" {
-		return s.repeats != nil && s.repeats(id)
-	}
-	return isControl(req) && s.repeatsControl != nil && s.repeatsControl()
+	id := req.Header.Get(headerAttempt)
+	return id != "" && s.repeats != nil && s.repeats(id)
 }
 
 // handle answers one request and reads it to its end.
--- a/review/stand/keys.go
+++ b/review/stand/keys.go
@@ -16,9 +16,8 @@
 
 // holding is what an instance knows of one key.
 type holding struct {
-	fence   uint64    // highest seen
-	until   time.Time // end of the hold, zero once released
-	granted time.Time // end of the hold as it was granted
+	fence uint64    // highest seen
+	until time.Time // end of the hold, zero once released
 }
 
 // holdings are the keys of an instance.
@@ -90,7 +89,7 @@
 	}
 	until := arrived.Add(time.Duration(o.HoldS * float64(time.Second)))
 	for k := o.From; k <= o.To; k++ {
-		s.keys[k] = holding{fence: o.Fence, until: until, granted: until}
+		s.keys[k] = holding{fence: o.Fence, until: until}
 	}
 	s.mu.Unlock()
 	if s.onGrant != nil {
@@ -103,7 +102,7 @@
 func (s *instance) release(o order) {
 	s.mu.Lock()
 	for k := o.From; k <= o.To; k++ {
-		s.keys[k] = holding{fence: max(s.keys[k].fence, o.Fence), granted: s.keys[k].granted}
+		s.keys[k] = holding{fence: max(s.keys[k].fence, o.Fence)}
 	}
 	s.mu.Unlock()
 	for {
@@ -120,15 +119,23 @@
 	}
 }
 
-// workingOn returns a key of a range at which the instance is at work although the hold
-// that it had has not run out.
-func (s *instance) workingOn(o order) (key int, found bool) {
+// holdsSome returns the first key of an order that the instance holds, with its fence.
+func (s *instance) holdsSome(o order) (key int, fence uint64, found bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for k := range s.atWork {
-		if k >= o.From && k <= o.To && time.Now().Before(s.keys[k].granted) {
-			return k, true
+	now := time.Now()
+	for k := o.From; k <= o.To; k++ {
+		if now.Before(s.keys[k].until) {
+			return k, s.keys[k].fence, true
 		}
 	}
-	return 0, false
+	return 0, 0, false
+}
+
+// holds reports whether the instance holds a key by the grant with a fence.
+func (s *instance) holds(key int, fence uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.keys[key]
+	return h.fence == fence && time.Now().Before(h.until)
 }
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -18,9 +18,9 @@
 
 // cases are the cases by name. A case returns how often its rule was broken.
 var cases = map[string]func(*setup) (int, error){
-	"control":  playControl,
 	"drain":    playDrain,
 	"late":     playLate,
+	"reborn":   playReborn,
 	"slowline": playSlowLine,
 	"upload":   playUpload,
 }
