review: leave out in case 3 what either server got after the end of a cut

The rule excuses grants that arrive within unfreeze_s after a link healed. The check did so for the new holder's grant only; now the old holder's counts neither.

--- a/review/stand/keys.go
+++ b/review/stand/keys.go
@@ -16,8 +16,9 @@
 
 // holding is what an instance knows of one key.
 type holding struct {
-	fence uint64    // highest seen
-	until time.Time // end of the hold, zero once released
+	fence   uint64    // highest seen
+	arrived time.Time // when the grant came
+	until   time.Time // end of the hold, zero once released
 }
 
 // holdings are the keys of an instance.
@@ -89,7 +90,7 @@
 	}
 	until := arrived.Add(time.Duration(o.HoldS * float64(time.Second)))
 	for k := o.From; k <= o.To; k++ {
-		s.keys[k] = holding{fence: o.Fence, until: until}
+		s.keys[k] = holding{fence: o.Fence, arrived: arrived, until: until}
 	}
 	s.mu.Unlock()
 	if s.onGrant != nil {
@@ -120,12 +121,13 @@
 }
 
 // holdsSome returns the first key of an order that the instance holds, with its fence.
-func (s *instance) holdsSome(o order) (key int, fence uint64, found bool) {
+// Holds by grants that came before a time do not count.
+func (s *instance) holdsSome(o order, since time.Time) (key int, fence uint64, found bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	for k := o.From; k <= o.To; k++ {
-		if now.Before(s.keys[k].until) {
+		if now.Before(s.keys[k].until) && s.keys[k].arrived.After(since) {
 			return k, s.keys[k].fence, true
 		}
 	}
--- a/review/stand/reborn.go
+++ b/review/stand/reborn.go
@@ -143,14 +143,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	at := time.Now()
-	if at.Sub(r.healed) < healTime {
+	countedFrom := r.healed.Add(healTime)
+	if at.Before(countedFrom) {
 		return
 	}
 	for _, s := range r.servers {
 		if s == nil || s == to {
 			continue
 		}
-		key, fence, found := s.holdsSome(o)
+		key, fence, found := s.holdsSome(o, countedFrom)
 		if !found {
 			continue
 		}
