review: judge in cases 4 and 5 only connections that the machine ended

A whole answer of another status counted as none, and a request whose connection the consumer itself had ended counted as lost. Neither had happened.

--- a/review/stand/drain.go
+++ b/review/stand/drain.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -44,8 +45,10 @@
 type read struct {
 	attempt  string
 	sentAt   time.Time
-	answered bool
-	failedAt time.Time // zero: its answer did not break off
+	answered bool // in full, whatever the status
+	status   int
+	failedAt time.Time // when its connection ended before its answer had; zero: it did not
+	gaveUp   bool      // the consumer ended the connection itself
 }
 
 // reader is a consumer that sends each request before the one before it has been
@@ -163,15 +166,37 @@
 		}
 		if err := r.receive(q); err != nil {
 			rec.printf("consumer %s: attempt %s: no whole answer: %v", r.name, q.attempt, err)
+			r.end(err)
 			return
 		}
-		rec.printf("consumer %s: attempt %s: answered in full, last %v", r.name, q.attempt, r.isEnd)
+		rec.printf("consumer %s: attempt %s: answered in full with %d, last %v", r.name, q.attempt, q.status, r.isEnd)
 		next++
 	}
-	// The connection ends for the consumer only when the machine closes it.
-	if err := r.conn.SetReadDeadline(time.Now().Add(drainWatch)); err == nil {
-		n, err := io.Copy(io.Discard, r.in)
-		rec.printf("consumer %s: after the last answer %d more bytes, then %v", r.name, n, err)
+	r.awaitEnd(rec)
+}
+
+// awaitEnd waits until the machine closes the connection.
+func (r *reader) awaitEnd(rec *record) {
+	if err := r.conn.SetReadDeadline(time.Now().Add(drainWatch)); err != nil {
+		rec.printf("consumer %s: %v", r.name, err)
+		return
+	}
+	n, err := io.Copy(io.Discard, r.in)
+	rec.printf("consumer %s: after the last answer %d more bytes, then %v", r.name, n, err)
+	r.end(err)
+}
+
+// end notes that the connection has ended with an error, nil if the machine closed it, for
+// all requests without an answer.
+func (r *reader) end(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, q := range r.sent {
+		if q.answered || !q.failedAt.IsZero() {
+			continue
+		}
+		q.failedAt = time.Now()
+		q.gaveUp = errors.Is(err, os.ErrDeadlineExceeded)
 	}
 }
 
@@ -217,7 +242,7 @@
 		}
 		time.Sleep(time.Until(began.Add(time.Duration(n) * time.Second / time.Duration(r.rate))))
 	}
-	q.answered = res.StatusCode == http.StatusOK
+	q.answered, q.status = true, res.StatusCode
 	return nil
 }
 
@@ -238,6 +263,10 @@
 				answered++
 				continue
 			}
+			if q.gaveUp || q.failedAt.IsZero() {
+				rec.printf("attempt %s does not count: the consumer ended the connection", q.attempt)
+				continue
+			}
 			if q.failedAt.Sub(q.sentAt) > time.Duration(lateShare*float64(routeTimeout)) {
 				rec.printf("attempt %s does not count: its time limit has come", q.attempt)
 				continue
--- a/review/stand/slowline.go
+++ b/review/stand/slowline.go
@@ -62,13 +62,18 @@
 	defer next.Stop()
 	for i := range 2 {
 		q := r.request(i)
-		if q == nil || r.isEnd {
+		if r.isEnd {
+			r.awaitEnd(rec)
+			return
+		}
+		if q == nil {
 			return
 		}
 		if err := r.receive(q); err != nil {
 			rec.printf("consumer %s: attempt %s: no whole answer: %v", r.name, q.attempt, err)
+			r.end(err)
 			return
 		}
-		rec.printf("consumer %s: attempt %s: answered in full, last %v", r.name, q.attempt, r.isEnd)
+		rec.printf("consumer %s: attempt %s: answered in full with %d, last %v", r.name, q.attempt, q.status, r.isEnd)
 	}
 }
