--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -28,7 +28,7 @@
 	// leadTime is the time from the start of the machines to that of the traffic.
 	leadTime = 8 * time.Second
 	// playTimeout bounds a whole case.
-	playTimeout = 110 * time.Second
+	playTimeout = 104 * time.Second
 )
 
 // machine is one machine with one process of the system.
