Read customers from the manifest and the sheet

The upstream wire removes the key and sets the name of the customer, if the manifest in force has customers.

--- a/config.go
+++ b/config.go
@@ -58,6 +58,7 @@
 type Category struct {
 	Name    CategoryName
 	Service ServiceName
+	Public  bool `json:",omitempty"` // callers need no API key
 }
 
 // Service is a set of upstreams that serve the same requests.
@@ -107,6 +108,9 @@
 	Domains    []Domain
 	Hosts      []Host
 	Servers    []Server
+	// Customers are those whose callers may use categories that are not public; none: all
+	// callers may use all.
+	Customers []Customer `json:",omitempty"`
 }
 
 // Category returns the category called name.
@@ -171,6 +175,7 @@
 	checkUnique(v, "Host", c.Hosts, func(x Host) string { return string(x.Name) })
 	checkUnique(v, "Upstream", c.Servers, func(x Server) string { return string(x.Name) })
 	checkUnique(v, "Address", c.Servers, func(x Server) string { return x.Address.String() })
+	validateCustomers(v, c.Customers)
 	for _, x := range c.Categories {
 		if _, ok := c.Service(x.Service); !ok {
 			v.Add(fmt.Sprintf("Service of category %q", x.Name), string(x.Service), "a service of this sheet")
--- a/fault.go
+++ b/fault.go
@@ -171,6 +171,10 @@
 	switch {
 	case e.Reason == ReasonNoRoute:
 		return http.StatusNotFound
+	case e.Reason == ReasonUnauthorized && e.Outcome == OutcomeNotRun:
+		return http.StatusUnauthorized
+	case e.Reason == ReasonQuota && e.Outcome == OutcomeNotRun:
+		return http.StatusTooManyRequests
 	case e.Reason == ReasonHeaderTooLarge:
 		return http.StatusRequestHeaderFieldsTooLarge
 	case e.Reason == ReasonBodyTooLarge:
--- a/header.go
+++ b/header.go
@@ -22,7 +22,9 @@
 	HeaderLimit          = "Relay-Limit"    // requests a second from all processes together
 	HeaderHandover       = "Relay-Handover"
 	HeaderLeaving        = "Relay-Leaving" // 1: the upstream leaves
-	HeaderRetryAfter     = "Retry-After"   // seconds; of a status 503
+	HeaderRetryAfter     = "Retry-After"   // seconds; of a status 429 or 503
+	HeaderAuthorization  = "Authorization" // the API key of a caller: Bearer KEY
+	HeaderCustomer       = "Relay-Customer"
 )
 
 // headerPrefix is common to the headers of the project's own protocol.
--- a/manifest.go
+++ b/manifest.go
@@ -21,6 +21,10 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Authenticated means that a request needs the API key of a customer, unless its route
+	// is public.
+	Authenticated bool
+	Customers     []Customer
 }
 
 // Service returns the service called name.
@@ -67,6 +71,7 @@
 	v := &ValidationError{Subject: "manifest"}
 	checkUnique(v, "Service", m.Services, func(x Service) string { return string(x.Name) })
 	checkUnique(v, "Route", m.Routes, func(x Route) string { return string(x.Name) })
+	validateCustomers(v, m.Customers)
 	for _, r := range m.Routes {
 		if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
 			v.Add(fmt.Sprintf("Prefix of route %q", r.Name), r.Prefix, "a path that begins and ends with a slash")
--- a/parser/diff.go
+++ b/parser/diff.go
@@ -41,6 +41,9 @@
 func Diff(before, after pimento.Config) []Change {
 	var out []Change
 	out = append(out, diffEntries(KindCategory, before.Categories, after.Categories, func(x pimento.Category) (string, string) {
+		if x.Public {
+			return string(x.Name), string(x.Service) + ", public"
+		}
 		return string(x.Name), string(x.Service)
 	})...)
 	out = append(out, diffEntries(KindService, before.Services, after.Services, func(x pimento.Service) (string, string) {
@@ -55,6 +58,9 @@
 	out = append(out, diffEntries(KindUpstream, before.Servers, after.Servers, func(x pimento.Server) (string, string) {
 		return string(x.Name), fmt.Sprintf("%s on %s at %s, %d slots, %d connections", x.Service, x.Host, x.Address, x.Slots, x.Connections)
 	})...)
+	out = append(out, diffEntries(KindCustomer, before.Customers, after.Customers, func(x pimento.Customer) (string, string) {
+		return string(x.Name), describeCustomer(x)
+	})...)
 	return out
 }
 
--- a/parser/sheet.go
+++ b/parser/sheet.go
@@ -3,7 +3,7 @@
 //
 // The first row names the columns, in any order:
 //
-//	Kind         Category, Service, Domain, Host or Upstream
+//	Kind         Category, Service, Domain, Host, Upstream or Customer
 //	Name         of the entry; a category's name is any text
 //	Service      of a category or an upstream
 //	Domain       of a host
@@ -15,6 +15,14 @@
 //	Connections  of an upstream, 1 to 65535
 //	State        of a domain: In or Out; of a host: Arriving or Leaving
 //
+// A sheet without customers may lack these columns:
+//
+//	Access       of a category: Public, or empty if callers need an API key
+//	Keys         of a customer: its API keys, separated by spaces
+//	Rate         of a customer: its quota in requests a second; empty: none
+//	Burst        of a customer: how many requests beyond Rate may come at once
+//	Priority     of a customer: a whole number, lower ones are more urgent
+//
 // A cell that does not belong to its row's kind must be empty.
 //
 // # Usage
@@ -57,6 +65,7 @@
 	KindDomain   Kind = "Domain"
 	KindHost     Kind = "Host"
 	KindUpstream Kind = "Upstream"
+	KindCustomer Kind = "Customer"
 )
 
 const (
@@ -71,6 +80,11 @@
 	columnSlots       = "Slots"
 	columnConnections = "Connections"
 	columnState       = "State"
+	columnAccess      = "Access"
+	columnKeys        = "Keys"
+	columnRate        = "Rate"
+	columnBurst       = "Burst"
+	columnPriority    = "Priority"
 )
 
 var columns = []string{
@@ -78,13 +92,20 @@
 	columnSharing, columnFencing, columnSlots, columnConnections, columnState,
 }
 
+// optionalColumns are those that a sheet without customers may lack.
+var optionalColumns = []string{columnAccess, columnKeys, columnRate, columnBurst, columnPriority}
+
+// allColumns are the columns that a sheet may have.
+var allColumns = slices.Concat(columns, optionalColumns)
+
 // kindColumns lists the columns that a kind uses besides Kind and Name.
 var kindColumns = map[Kind][]string{
-	KindCategory: {columnService},
+	KindCategory: {columnService, columnAccess},
 	KindService:  {columnSharing, columnFencing},
 	KindDomain:   {columnState},
 	KindHost:     {columnDomain, columnState},
 	KindUpstream: {columnService, columnHost, columnAddress, columnSlots, columnConnections},
+	KindCustomer: {columnKeys, columnRate, columnBurst, columnPriority},
 }
 
 // sheet is the state of a sheet that is being read.
@@ -147,8 +168,8 @@
 	for i, name := range header {
 		name = strings.TrimSpace(strings.TrimPrefix(name, "\ufeff"))
 		_, duplicate := s.columnIndex[name]
-		if duplicate || !slices.Contains(columns, name) {
-			s.faults.AddAt(1, i+1, "column", name, "one of "+strings.Join(columns, ", ")+", each once")
+		if duplicate || !slices.Contains(allColumns, name) {
+			s.faults.AddAt(1, i+1, "column", name, "one of "+strings.Join(allColumns, ", ")+", each once")
 		}
 		s.columnIndex[name] = i
 	}
@@ -189,8 +210,8 @@
 
 // cell returns a cell without surrounding space, empty if the row has none.
 func (r *row) cell(column string) string {
-	i := r.sheet.columnIndex[column]
-	if i >= len(r.fields) {
+	i, ok := r.sheet.columnIndex[column]
+	if !ok || i >= len(r.fields) {
 		return ""
 	}
 	return strings.TrimSpace(r.fields[i])
@@ -204,10 +225,10 @@
 	kind := Kind(r.cell(columnKind))
 	allowed, ok := kindColumns[kind]
 	if !ok {
-		r.addFault(columnKind, "Category, Service, Domain, Host or Upstream")
+		r.addFault(columnKind, "Category, Service, Domain, Host, Upstream or Customer")
 		return
 	}
-	for _, c := range columns[2:] {
+	for _, c := range allColumns[2:] {
 		if !slices.Contains(allowed, c) && r.cell(c) != "" {
 			r.addFault(c, fmt.Sprintf("an empty cell in a row of kind %s", kind))
 		}
@@ -220,6 +241,7 @@
 	case KindCategory:
 		s.config.Categories = append(s.config.Categories, pimento.Category{
 			Name: pimento.CategoryName(r.cell(columnName)), Service: pimento.ServiceName(r.referenceCell(columnService, KindService)),
+			Public: r.publicCell(),
 		})
 	case KindService:
 		s.config.Services = append(s.config.Services, pimento.Service{
@@ -236,6 +258,8 @@
 			Name: pimento.HostName(r.cell(columnName)), Domain: pimento.DomainName(r.referenceCell(columnDomain, KindDomain)),
 			State: enumCell(r, columnState, pimento.StateArriving, pimento.StateLeaving),
 		})
+	case KindCustomer:
+		s.config.Customers = append(s.config.Customers, r.customer())
 	case KindUpstream:
 		s.config.Servers = append(s.config.Servers, r.server())
 	}
--- a/relay/run.go
+++ b/relay/run.go
@@ -45,6 +45,7 @@
 	Host     string
 	Domain   string
 	Strength float64
+	Bounds   pimento.Bounds
 	Peer     string
 	Caller   string
 	Operator string
@@ -57,7 +58,7 @@
 }
 
 func newRunCommand() *cobra.Command {
-	o := &runOptions{logOutput: &recorder.Writer{To: os.Stderr}}
+	o := &runOptions{Bounds: pimento.DefaultBounds(), logOutput: &recorder.Writer{To: os.Stderr}}
 	cmd := &cobra.Command{
 		Use:   "run",
 		Short: "Run one entry process",
@@ -81,6 +82,10 @@
 	f.Float64Var(&o.Strength, "strength", 1, "capacity of this host relative to the others; the strongest hosts are preferred for the leader")
 	f.StringVar(&o.Platform, "platform", "", "IP address and TCP port of the platform's store")
 	f.StringVar(&o.LogLevel, "log-level", "info", "lowest level that is logged: trace, debug, info, warn, error or off")
+	f.DurationVar(&o.Bounds.Revocation, "revocation", o.Bounds.Revocation, "time after which an API key that was taken away must not be used, also without the store; 0: no such bound")
+	f.DurationVar(&o.Bounds.QuotaWindow, "quota-window", o.Bounds.QuotaWindow, "time over which the excess of quotas counts")
+	f.Float64Var(&o.Bounds.QuotaOvershoot, "quota-overshoot", o.Bounds.QuotaOvershoot, "part by which a customer may exceed its quota in that time")
+	f.Float64Var(&o.Bounds.QuotaSlack, "quota-slack", o.Bounds.QuotaSlack, "requests by which it may exceed it besides")
 	f.BoolVar(&o.LogJSON, "log-json", false, "write the log as JSON")
 	return cmd
 }
@@ -98,10 +103,11 @@
 	if !(o.Strength > 0) {
 		v.Add("--strength", strconv.FormatFloat(o.Strength, 'g', -1, 64), "a number above zero")
 	}
+	o.checkBounds(v)
 	r := &router.Router{
 		Host: pimento.HostName(o.Host), Domain: pimento.DomainName(o.Domain), Strength: o.Strength, Token: o.Token,
 		Peer: parseAddress(v, "--peer", o.Peer), Caller: parseAddress(v, "--caller", o.Caller),
-		Operator: parseAddress(v, "--operator", o.Operator), Bounds: pimento.DefaultBounds(), RequireKey: true,
+		Operator: parseAddress(v, "--operator", o.Operator), Bounds: o.Bounds, RequireKey: true,
 		CallerWire: translator.Wire{}, UpstreamWire: translator.Wire{},
 	}
 	store := &platform.Store{HTTP: platform.NewHTTPClient(), OnResult: r.ObserveStoreCall, OnEra: r.ObserveStoreEra, Address: parseAddress(v, "--platform", o.Platform)}
@@ -110,6 +116,21 @@
 	return r, v.Err()
 }
 
+// checkBounds adds the bounds that are no numbers of zero or more.
+func (o *runOptions) checkBounds(v *pimento.ValidationError) {
+	for _, b := range []struct {
+		flag  string
+		value float64
+	}{
+		{"--revocation", o.Bounds.Revocation.Seconds()}, {"--quota-window", o.Bounds.QuotaWindow.Seconds()},
+		{"--quota-overshoot", o.Bounds.QuotaOvershoot}, {"--quota-slack", o.Bounds.QuotaSlack},
+	} {
+		if !(b.value >= 0) {
+			v.Add(b.flag, strconv.FormatFloat(b.value, 'g', -1, 64), "zero or more")
+		}
+	}
+}
+
 func parseLevel(v *pimento.ValidationError, text string) hclog.Level {
 	level := hclog.LevelFromString(text)
 	if level == hclog.NoLevel {
--- a/relayctl/check.go
+++ b/relayctl/check.go
@@ -22,6 +22,7 @@
 	Domains    int
 	Hosts      int
 	Upstreams  int
+	Customers  int `json:",omitempty"`
 }
 
 func newCheckCommand(c *client) *cobra.Command {
@@ -35,10 +36,10 @@
 			if err != nil {
 				return err
 			}
-			r := checkResult{len(config.Categories), len(config.Services), len(config.Domains), len(config.Hosts), len(config.Servers)}
+			r := checkResult{len(config.Categories), len(config.Services), len(config.Domains), len(config.Hosts), len(config.Servers), len(config.Customers)}
 			return c.printResult(r, func(w io.Writer) {
-				fmt.Fprintf(w, "sheet is valid: %d categories, %d services, %d failure domains, %d hosts, %d upstreams\n",
-					r.Categories, r.Services, r.Domains, r.Hosts, r.Upstreams)
+				fmt.Fprintf(w, "sheet is valid: %d categories, %d services, %d failure domains, %d hosts, %d upstreams, %d customers\n",
+					r.Categories, r.Services, r.Domains, r.Hosts, r.Upstreams, r.Customers)
 			})
 		},
 	}
--- a/request.go
+++ b/request.go
@@ -48,6 +48,9 @@
 	ReasonStopping       Reason = "Stopping"
 	ReasonAvoided        Reason = "Avoided"
 	ReasonStaleUpstreams Reason = "StaleUpstreams" // the upstreams known here are too old
+	ReasonUnauthorized   Reason = "Unauthorized"   // no customer holds the API key
+	ReasonQuota          Reason = "Quota"          // the quota of the customer is used up
+	ReasonQuotaUnknown   Reason = "QuotaUnknown"   // this process has no part of that quota now
 )
 
 // ErrStopping is the cause of the end of a request's context if its process ends.
--- a/route.go
+++ b/route.go
@@ -44,6 +44,7 @@
 	Goal        time.Duration // time within which an answer has its full utility
 	Priority    int           // lower values are more urgent
 	Strip       bool          // remove the prefix before forwarding
+	Public      bool          // callers need no API key
 }
 
 // Idempotent reports whether a request of the route may run more than once.
--- a/surveyor/surveyor.go
+++ b/surveyor/surveyor.go
@@ -218,7 +218,7 @@
 	if err := json.Unmarshal(value, &v); err != nil {
 		return pimento.Manifest{}, fmt.Errorf("Surveyor.DecodeManifest: %w", err)
 	}
-	m := pimento.Manifest{Version: v.Version}
+	m := pimento.Manifest{Version: v.Version, Authenticated: len(v.Config.Customers) > 0, Customers: v.Config.Customers}
 	for _, x := range v.Config.Services {
 		x.HealthPath = translator.HealthPath
 		m.Services = append(m.Services, x)
@@ -227,7 +227,7 @@
 		m.Routes = append(m.Routes, pimento.Route{
 			Name: pimento.RouteName(c.Name), Prefix: translator.CategoryPrefix(c.Name), Kind: pimento.RouteByMethod, Strip: true,
 			Targets: []pimento.Target{{Service: c.Service, Weight: 1}}, MaxAttempts: routeAttempts,
-			Timeout: routeTimeout, Goal: routeGoal,
+			Timeout: routeTimeout, Goal: routeGoal, Public: c.Public,
 		})
 	}
 	m.Defaults()
--- a/translator/wire.go
+++ b/translator/wire.go
@@ -7,10 +7,11 @@
 //	Relay-Key        the key; required for a keyed service
 //	Idempotency-Key  the ID of a request that may be sent again
 //	Relay-Timeout    how long the caller waits, such as "2s"
+//	Authorization    "Bearer KEY", if the sheet has customers
 //
 // Every answer has Relay-Outcome and Relay-Request-Id. Answered means that the
 // upstream's answer follows, whole or visibly truncated; NotRun (status 503, or
-// 4xx for an invalid request) that no upstream ran the request; Unknown (status
+// 4xx for an invalid request or one beyond a quota) that no upstream ran the request; Unknown (status
 // 502 or 504) that one may have. Relay-Reason says why.
 //
 // # Usage
@@ -61,6 +62,7 @@
 // relay may set.
 func (Wire) ReadRequest(h http.Header, now time.Time, r *pimento.Request) error {
 	id, key, timeout := h.Get(pimento.HeaderIdempotencyKey), h.Get(pimento.HeaderKey), h.Get(pimento.HeaderTimeout)
+	r.APIKey = pimento.ReadAPIKey(h.Values(pimento.HeaderAuthorization))
 	pimento.StripInternal(h)
 	r.ID, r.HasCallerID = id, id != ""
 	if !r.HasCallerID {
@@ -125,7 +127,7 @@
 	h.Set(pimento.HeaderOutcome, string(out.Outcome))
 	h.Set(pimento.HeaderReason, string(out.Reason))
 	status := out.Status()
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		h.Set(pimento.HeaderRetryAfter, strconv.FormatFloat(max(out.RetryAfter, minRetryAfter).Seconds(), 'f', 3, 64))
 	}
 	return status
@@ -140,6 +142,12 @@
 	h.Set(pimento.HeaderTimeout, remaining.String())
 	h.Set(pimento.HeaderUpstream, string(to.Name))
 	h.Set(pimento.HeaderKeyPosition, strconv.Itoa(int(r.Key)))
+	if r.Authenticated {
+		h.Del(pimento.HeaderAuthorization)
+	}
+	if r.Customer != nil {
+		h.Set(pimento.HeaderCustomer, string(r.Customer.Name))
+	}
 }
 
 // WriteTarget implements pimento.UpstreamWire.
--- a/wire.go
+++ b/wire.go
@@ -15,19 +15,36 @@
 	Key         Key
 	Keyed       bool // the caller sent a key
 	HasCallerID bool // the caller set the ID, so it may send the request again
-	Method      string
-	Path        string // with query, as received
-	Host        string
-	Header      http.Header
-	BodyLength  int64     // bytes, -1 if unknown
-	ArrivedAt   time.Time // end of its header; zero: unknown
-	Deadline    time.Time
-	GoalAt      time.Time // an answer until then has its full utility
+	APIKey      APIKey
+	// Authenticated means that the manifest in force has customers: upstreams get the name
+	// of Customer, whatever the caller sent, and no API key.
+	Authenticated bool
+	Customer      *Customer // that holds APIKey; nil: none
+	// Check is called right before the request is written to an upstream. Its error, an
+	// *OutcomeError with outcome NotRun, stops that. It may be nil.
+	Check      func() error
+	Method     string
+	Path       string // with query, as received
+	Host       string
+	Header     http.Header
+	BodyLength int64     // bytes, -1 if unknown
+	ArrivedAt  time.Time // end of its header; zero: unknown
+	Deadline   time.Time
+	GoalAt     time.Time // an answer until then has its full utility
 	// Fingerprint is set by SetFingerprint. It is zero while the body awaits a 100
 	// Continue: the first read of the body sets it.
 	Fingerprint uint64
 }
 
+// RecordID returns the ID under which the request is recorded. Customers that use the same
+// ID do not get the answers of each other.
+func (r *Request) RecordID() string {
+	if r.Customer == nil {
+		return r.ID
+	}
+	return string(r.Customer.Name) + "/" + r.ID
+}
+
 // SetFingerprint sets the fingerprint from what is the same when a caller retries
 // a request: method, host, path, and the beginning of the body. The length of a long
 // body is known or not, as the body is framed, so it does not count.
@@ -44,7 +61,7 @@
 
 // CallerWire translates between the protocol of callers and the domain types.
 type CallerWire interface {
-	// ReadRequest fills in ID, HasCallerID, Key, Keyed and Deadline from the
+	// ReadRequest fills in ID, HasCallerID, APIKey, Key, Keyed and Deadline from the
 	// header of a request that arrived at now. It may remove headers and
 	// normalize Path. The error is an *OutcomeError.
 	ReadRequest(h http.Header, now time.Time, r *Request) error
@@ -74,7 +91,8 @@
 // UpstreamWire translates between the protocol of upstreams and the domain types.
 type UpstreamWire interface {
 	// WriteRequest sets the header of a request for an upstream that may work
-	// on it for remaining.
+	// on it for remaining. If the request is authenticated, it removes the API key and
+	// sets the customer.
 	WriteRequest(h http.Header, r *Request, to *Server, remaining time.Duration)
 	// WriteTarget names the only upstream that may carry out a call, since its
 	// address may belong to another by now.
