Keep customers to their fair share of an overloaded pool

Cause: one customer that sends many times its usual fills the queue of a pool, which is ordered by priority and goal alone. Change: requests beyond the weighted max-min share of their customer come after all others; the priority of a customer goes before that of a route.

--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -8,6 +8,8 @@
 //
 //   - Waiting (wait.go): bursts. Requests that can still be answered within
 //     their goal go first, by priority and goal; the others get what is left.
+//   - Fairness (fairness.go): one customer sends many times its usual. What is beyond its
+//     fair share of an overloaded pool comes after all others.
 //   - Refusing (wait.go): overload. A request that cannot be served in time is
 //     refused at once, with a delay after which to retry.
 //   - Placing (place.go): upstreams of different speed, slow and failing ones.
@@ -55,22 +57,28 @@
 
 // Ticket is a request that asks for a permit.
 type Ticket struct {
-	ID        uint64
-	Route     pimento.RouteName
-	Priority  int
-	Key       pimento.Key
-	Domain    pimento.DomainName // of the process that will send it
-	BodyBytes int64              // -1 if unknown
-	Arrived   time.Time
-	GoalAt    time.Time // an answer until then has its full utility
-	Deadline  time.Time
-	Retry     bool // it was sent to an upstream before
+	ID       uint64
+	Route    pimento.RouteName
+	Priority int
+	Customer pimento.CustomerName // empty: none
+	// CustomerPriority goes before Priority.
+	CustomerPriority int
+	Quota            float64 // of the customer, in requests a second; zero: none
+	Key              pimento.Key
+	Domain           pimento.DomainName // of the process that will send it
+	BodyBytes        int64              // -1 if unknown
+	Arrived          time.Time
+	GoalAt           time.Time // an answer until then has its full utility
+	Deadline         time.Time
+	Retry            bool // it was sent to an upstream before
 	// Again means that the permit of this attempt was given back unused; the attempt
 	// has been counted.
 	Again  bool
 	Avoid  []pimento.UpstreamName
 	Barred []Bar                  // upstreams that the process may not send it to
 	Warm   []pimento.UpstreamName // to which the process has an idle connection
+
+	excess bool // beyond the fair share of its customer
 }
 
 // Decision ends the wait of a ticket: either Upstream or Refusal is set.
@@ -136,6 +144,7 @@
 	serviceTimes       map[pimento.RouteName]*serviceTime
 	overallServiceTime serviceTime // of all routes together
 
+	fairness    fairness
 	budget      budget
 	onTime      rate   // requests that meet their goal
 	jitterState uint64 // of the generator that spreads retry delays
@@ -214,6 +223,7 @@
 	default:
 		p.budget.recordRequest(now)
 	}
+	t.excess = !t.Again && p.fairness.exceeds(now, t.Customer, t.Quota, p.capacity)
 	if out := p.checkAdmission(now, &t); out != nil {
 		return []Decision{{Ticket: t.ID, Refusal: out}}
 	}
--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -41,8 +41,9 @@
 	answerMargin = 20 * time.Millisecond
 )
 
-// enqueue inserts a request into the queue, which is ordered by priority, the
-// most urgent first, then by goal.
+// enqueue inserts a request into the queue, which is ordered by the priority of its
+// customer, the most urgent first, then by whether it is within the fair share of that, by
+// the priority of its route, and by goal.
 func (p *Pool) enqueue(t *Ticket) {
 	i, _ := slices.BinarySearchFunc(p.waiting, t, compareTickets)
 	p.waiting = slices.Insert(p.waiting, i, t)
@@ -50,6 +51,15 @@
 
 // compareTickets orders the queue.
 func compareTickets(a, b *Ticket) int {
+	if a.CustomerPriority != b.CustomerPriority {
+		return a.CustomerPriority - b.CustomerPriority
+	}
+	if a.excess != b.excess {
+		if b.excess {
+			return -1
+		}
+		return 1
+	}
 	if a.Priority != b.Priority {
 		return a.Priority - b.Priority
 	}
@@ -193,7 +203,7 @@
 		c.onTime.add(now)
 		return nil
 	}
-	if c.onTime.value(now) < c.longTermThroughput*maxOnTimeLoad {
+	if !t.excess && c.onTime.value(now) < c.longTermThroughput*maxOnTimeLoad {
 		lateWait := time.Duration(float64(c.late+1) / c.throughput * float64(time.Second))
 		if wait+lateWait+duration < scale(t.Deadline.Sub(now), lateDeadlineShare) {
 			return nil
