Check API keys, revocation and quotas

Cause: any key was served, and one that was taken away for as long as it came. Change: a request needs the key of a customer unless its route is public: 401 if the manifest is new enough to know, else 503. Keys are used only while the manifest is known to be newer than the bound of revocation, and judged again right before a request is written. Records of customers are apart; manifests with keys are encrypted between processes.

--- a/admitter/acquire.go
+++ b/admitter/acquire.go
@@ -105,17 +105,21 @@
 
 // ticketOf describes a request to the scheduler.
 func (a *Admitter) ticketOf(pool poolKey, r *pimento.Request, attempt forwarder.AttemptState) scheduler.Ticket {
-	return scheduler.Ticket{
+	t := scheduler.Ticket{
 		Warm:  a.warmUpstreams(pool),
 		Route: r.Route.Name, Priority: r.Route.Priority, Key: r.Key, Domain: a.Self.Domain, BodyBytes: r.BodyLength,
 		Arrived: time.Now(), GoalAt: r.GoalAt, Deadline: r.Deadline, Retry: attempt.Number > 1, Again: attempt.Again, Avoid: attempt.Avoid, Barred: a.barred(r.Service, attempt.Again),
 	}
+	if r.Customer != nil {
+		t.Customer, t.CustomerPriority = r.Customer.Name, r.Customer.Priority
+	}
+	return t
 }
 
 // acquireLocally acquires a permit from this process.
 func (a *Admitter) acquireLocally(ctx context.Context, key poolKey, r *pimento.Request, attempt forwarder.AttemptState) (forwarder.Permit, error) {
 	decided := make(chan scheduler.Decision, 1)
-	id, callbacks := a.submit(key, a.ticketOf(key, r, attempt), &waiter{fingerprint: quarantiner.Fingerprint(r.Fingerprint), answer: func(d scheduler.Decision) { decided <- d }})
+	id, callbacks := a.submit(key, a.ticketOf(key, r, attempt), &waiter{fingerprint: quarantiner.Fingerprint(r.Fingerprint), charged: attempt.Charged, answer: func(d scheduler.Decision) { decided <- d }})
 	runAll(callbacks)
 	select {
 	case d := <-decided:
@@ -173,6 +177,7 @@
 		Service: key.service, Pool: key.index, Route: t.Route, Priority: t.Priority, Key: t.Key, Domain: t.Domain, Bytes: t.BodyBytes,
 		Goal: t.GoalAt.Sub(t.Arrived), Left: t.Deadline.Sub(t.Arrived), Repeat: t.Retry, Avoid: t.Avoid, Fingerprint: quarantiner.Fingerprint(r.Fingerprint),
 		Barred: barMessages(t), Again: t.Again, Warm: t.Warm,
+		Customer: t.Customer, CustomerPriority: t.CustomerPriority, Charged: attempt.Charged,
 	}})
 	switch {
 	case err != nil && ctx.Err() != nil:
@@ -298,7 +303,7 @@
 			return scheduler.ResultCanceled
 		}
 		return scheduler.ResultTimeout
-	case pimento.ReasonCallerGone, pimento.ReasonStopping, pimento.ReasonBodyCut, pimento.ReasonAvoided:
+	case pimento.ReasonCallerGone, pimento.ReasonStopping, pimento.ReasonBodyCut, pimento.ReasonAvoided, pimento.ReasonUnauthorized, pimento.ReasonStaleManifest:
 		return scheduler.ResultCanceled
 	}
 	if failure.Outcome == pimento.OutcomeNotRun {
--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -29,6 +29,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/allocator"
 	"pimentorelay.example/pimento/avoider"
 	"pimentorelay.example/pimento/limiter"
 	"pimentorelay.example/pimento/messenger"
@@ -63,6 +64,7 @@
 	Owners    map[pimento.ServiceName][]scheduler.Owner
 	// OwnersVersion is the version of Owners; zero if none was received.
 	OwnersVersion uint64
+	Customers     *pimento.CustomerTable // nil: none
 	Pools         []pimento.Pool
 	Processes     map[pimento.ProcessID]pimento.Process
 }
@@ -133,6 +135,8 @@
 	avoided    avoider.Book
 	gone       map[quarantiner.Run]goneRun
 	warm       warm
+	account    allocator.Account // of the quotas of customers
+	parked     []parked
 	once       sync.Once
 }
 
@@ -164,7 +168,9 @@
 type waiter struct {
 	fingerprint quarantiner.Fingerprint
 	deadline    time.Time
-	link        *messenger.Link // nil: a request of this process
+	charged     bool              // an earlier permit counts for the quota of its customer
+	customer    *pimento.Customer // of whose quota it has a credit; nil: none
+	link        *messenger.Link   // nil: a request of this process
 	call        uint64
 	answer      func(scheduler.Decision)
 }
@@ -301,11 +307,18 @@
 	a.lastTicket++
 	t.ID = a.lastTicket
 	w.deadline = t.Deadline
+	if c := a.customer(t.Customer); c != nil {
+		t.Quota = c.Rate
+	}
 	if wait := a.refusedFor(now, key, w.fingerprint); wait > 0 {
 		return t.ID, []func(){func() { w.answer(scheduler.Decision{Ticket: t.ID, Refusal: quarantineRefusal(wait)}) }}
 	}
 	p.waiting[t.ID] = w
 	p.loads[t.Key]++
+	if offer, callbacks := a.charge(now, key, t, w); !offer {
+		a.wakeRun()
+		return t.ID, callbacks
+	}
 	callbacks := a.applyDecisions(now, p, p.machine.Offer(now, t))
 	if p.machine.Waiting() > 0 {
 		a.wakeRun()
@@ -330,6 +343,9 @@
 			decisions = append(decisions, p.machine.Cancel(now, d.Ticket)...)
 			d = scheduler.Decision{Ticket: d.Ticket, Refusal: quarantineRefusal(wait)}
 		}
+		if d.Refusal != nil {
+			a.refund(w)
+		}
 		if d.Refusal == nil {
 			p.issued[d.Ticket] = issuedPermit{run: a.runOf(d.Upstream), fingerprint: w.fingerprint, at: now, deadline: w.deadline}
 		}
@@ -371,6 +387,9 @@
 	a.mu.Lock()
 	var callbacks []func()
 	if p, ok := a.pools[key]; ok {
+		if w, waits := p.waiting[ticket]; waits {
+			a.refund(w)
+		}
 		delete(p.waiting, ticket)
 		delete(p.issued, ticket)
 		callbacks = a.applyDecisions(now, p, p.machine.Cancel(now, ticket))
@@ -413,6 +432,7 @@
 	now := time.Now()
 	a.mu.Lock()
 	changes, callbacks := a.applyLimits(now)
+	callbacks = append(callbacks, a.admitParked(now)...)
 	notices := a.avoided.Tick(timekeeper.Now())
 	for _, p := range a.pools {
 		a.endLostPermits(now, p)
@@ -420,7 +440,7 @@
 	}
 	a.observeRuns(now)
 	suspected := a.runsToProbe(now)
-	waiting := false
+	waiting := len(a.parked) > 0
 	for _, p := range a.pools {
 		waiting = waiting || p.machine.Waiting() > 0
 	}
@@ -440,7 +460,7 @@
 	a.init()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	n := 0
+	n := len(a.parked)
 	for _, p := range a.pools {
 		n += p.machine.Waiting()
 	}
--- a/admitter/dispatcher.go
+++ b/admitter/dispatcher.go
@@ -17,7 +17,8 @@
 		Route: req.Route, Priority: req.Priority, Key: req.Key, Domain: req.Domain, BodyBytes: req.Bytes,
 		Arrived: now, GoalAt: now.Add(req.Goal), Deadline: now.Add(req.Left), Retry: req.Repeat, Avoid: req.Avoid, Again: req.Again, Warm: req.Warm, Barred: ticketBars(now, req.Barred),
 	}
-	w := &waiter{link: from, call: call, fingerprint: req.Fingerprint}
+	t.Customer, t.CustomerPriority = req.Customer, req.CustomerPriority
+	w := &waiter{link: from, call: call, fingerprint: req.Fingerprint, charged: req.Charged}
 	w.answer = func(d scheduler.Decision) { reply(a.decisionMessage(key, t.Key, d)) }
 	_, callbacks := a.submit(key, t, w)
 	runAll(callbacks)
@@ -139,6 +140,9 @@
 	defer a.mu.Unlock()
 	report := messenger.Report{CrashFacts: a.quarantine.Reports(now, epoch), Limits: a.limits.FreshReports(now)}
 	report.Leaving, report.Paused = a.noticeReports()
+	if report.Uses = a.account.Uses(now); len(report.Uses) > 0 {
+		report.UsesEpoch = a.account.Epoch()
+	}
 	for key, p := range a.pools {
 		s, _ := a.state.Service(key.service)
 		if s.Sharing != pimento.SharingKeyed {
--- a/connector/client.go
+++ b/connector/client.go
@@ -259,7 +259,7 @@
 // Send sends a request and returns its answer. When ctx ends, the connection is
 // closed, which cancels the request at the upstream.
 func (c *Client) Send(ctx context.Context, r *pimento.Request, body io.Reader) (pimento.Answer, pimento.AnswerMetadata, error) {
-	if err := c.checkSend(ctx); err != nil {
+	if err := c.checkSend(ctx, r); err != nil {
 		return pimento.Answer{}, pimento.AnswerMetadata{}, err
 	}
 	now := time.Now()
@@ -336,7 +336,7 @@
 	if err != nil {
 		return pimento.Answer{}, pimento.AnswerMetadata{}, pimento.NotRun(pimento.ReasonBodyCut, err.Error())
 	}
-	if err := e.client.checkSend(ctx); err != nil {
+	if err := e.client.checkSend(ctx, e.request); err != nil {
 		return pimento.Answer{}, pimento.AnswerMetadata{}, err
 	}
 	e.writtenAt = timekeeper.Now()
--- a/connector/notice.go
+++ b/connector/notice.go
@@ -11,10 +11,15 @@
 
 // checkSend returns the error of a request that must not be written: its context has
 // ended, or CheckSend stops it.
-func (c *Client) checkSend(ctx context.Context) error {
+func (c *Client) checkSend(ctx context.Context, r *pimento.Request) error {
 	if ctx.Err() != nil {
 		return pimento.NotRun(contextReason(ctx), "it ended before it was sent")
 	}
+	if r.Check != nil {
+		if err := r.Check(); err != nil {
+			return err
+		}
+	}
 	if c.CheckSend == nil {
 		return nil
 	}
--- a/event.go
+++ b/event.go
@@ -56,6 +56,10 @@
 	EventRequestAnswered EventNumber = 6003
 	EventRequestRepeated EventNumber = 6004
 	EventAnswerCut       EventNumber = 6005
+	EventAPIKeyAdded     EventNumber = 7001
+	EventAPIKeyRemoved   EventNumber = 7002
+	EventQuotaExhausted  EventNumber = 7003
+	EventQuotaRegained   EventNumber = 7004
 )
 
 // eventNames are the names of the events in logs and on the timeline.
@@ -108,6 +112,10 @@
 	EventRequestAnswered: "request was answered",
 	EventRequestRepeated: "request is tried again",
 	EventAnswerCut:       "answer did not reach its caller",
+	EventAPIKeyAdded:     "API key is in force",
+	EventAPIKeyRemoved:   "API key is no longer in force",
+	EventQuotaExhausted:  "quota of a customer is exhausted",
+	EventQuotaRegained:   "quota of a customer is no longer exhausted",
 }
 
 // String returns the event's name.
--- a/forwarder/currency.go
+++ b/forwarder/currency.go
@@ -30,25 +30,32 @@
 	// IsCurrent reports whether the configuration in force contains every change that
 	// had to be in force when a request arrived. It does not block.
 	IsCurrent(arrived time.Time) bool
-	// Await waits for that, and for no longer than wait. retryAfter is when more will
+	// MayUseKeys reports whether a request that arrived then may run by its API key: none
+	// was taken away so long before that it must not.
+	MayUseKeys(arrived time.Time) bool
+	// Await waits until IsCurrent, and for no longer than wait. retryAfter is when more will
 	// be known, zero if Current.
 	Await(ctx context.Context, arrived time.Time, wait time.Duration) (c Currentness, retryAfter time.Duration)
 }
 
-// minRefusalWait is how long a request without a route waits at most for a newer
-// configuration.
+// minRefusalWait is how long a request without a route or a customer waits at most for a
+// newer configuration.
 const minRefusalWait = 150 * time.Millisecond
 
+// staleDetail is the detail of a refusal because of the age of the manifest.
+const staleDetail = "the manifest known here may be too old, and the store has not answered"
+
 // decision is what the configuration in force says about a request.
 type decision struct {
-	view  *View
-	route *pimento.Route // nil: none matches
+	view     *View
+	route    *pimento.Route    // nil: none matches
+	customer *pimento.Customer // that holds the API key of the request; nil: none
 }
 
-// mayRefuse reports whether a decision may refuse a request for good: it has no route,
-// or lacks the key that a service of its route needs.
+// mayRefuse reports whether a decision may refuse a request for good: it has no route or
+// no customer, or lacks the key that a service of its route needs.
 func (f *Forwarder) mayRefuse(d decision, r *pimento.Request) bool {
-	if d.route == nil {
+	if d.route == nil || d.isUnauthorized() {
 		return true
 	}
 	return f.RequireKey && !r.Keyed && slices.ContainsFunc(d.route.Targets, func(t pimento.Target) bool {
@@ -63,17 +70,17 @@
 func (f *Forwarder) decide(ctx context.Context, r *pimento.Request, arrived time.Time, trace *Trace) (decision, error) {
 	current := f.Currency == nil || f.Currency.IsCurrent(arrived) // before the view is read, which may become newer
 	d, err := f.match(r, trace)
-	if err != nil || current {
+	if err != nil || current && f.mayUseKey(d, arrived) {
 		return d, err
 	}
 	state, retryAfter := f.Currency.Await(ctx, arrived, f.maxWait(d, r, arrived))
 	if d, err = f.match(r, trace); err != nil {
 		return d, err
 	}
-	if state == Current || !f.mayRefuse(d, r) {
+	if (state == Current || !f.mayRefuse(d, r)) && f.mayUseKey(d, arrived) {
 		return d, nil
 	}
-	refusal := pimento.NotRun(pimento.ReasonStaleManifest, "the manifest known here may be too old, and the store has not answered")
+	refusal := pimento.NotRun(pimento.ReasonStaleManifest, staleDetail)
 	refusal.RetryAfter = retryAfter
 	return d, refusal
 }
@@ -91,14 +98,16 @@
 	if route, ok := d.view.Routes.Match(r.Host, path); ok {
 		d.route = route
 	}
+	d.customer = d.view.customerOf(r)
 	return d, nil
 }
 
 // maxWait returns how long a request waits at most for a newer configuration: one with
-// a route for half of the time that it has left, any other for minRefusalWait.
+// a route and a customer, if it needs one, for half of the time that it has left, any other
+// for minRefusalWait.
 func (f *Forwarder) maxWait(d decision, r *pimento.Request, arrived time.Time) time.Duration {
 	left := time.Until(r.Deadline)
-	if d.route == nil {
+	if d.route == nil || d.isUnauthorized() {
 		return min(minRefusalWait, left)
 	}
 	if end := arrived.Add(d.route.Timeout); end.Before(r.Deadline) {
--- a/forwarder/currency_test.go
+++ b/forwarder/currency_test.go
@@ -19,9 +19,14 @@
 	next   *View       // nil: none
 	view   *View
 	waited time.Duration // allowed in Await; zero: it was not called
+
+	current   bool // from the beginning
+	keysStale bool // requests may not run by their API keys
 }
 
-func (c *fakeCurrency) IsCurrent(time.Time) bool { return false }
+func (c *fakeCurrency) IsCurrent(time.Time) bool { return c.current }
+
+func (c *fakeCurrency) MayUseKeys(time.Time) bool { return !c.keysStale }
 
 func (c *fakeCurrency) Await(_ context.Context, _ time.Time, wait time.Duration) (Currentness, time.Duration) {
 	c.waited = wait
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -40,8 +40,14 @@
 
 // View is the part of the configuration in force that the forwarder reads.
 type View struct {
-	Manifest *pimento.Manifest
-	Routes   *pimento.RouteTable
+	Manifest  *pimento.Manifest
+	Routes    *pimento.RouteTable
+	Customers *pimento.CustomerTable
+}
+
+// NewView returns the view of a manifest.
+func NewView(m *pimento.Manifest) *View {
+	return &View{Manifest: m, Routes: pimento.NewRouteTable(m.Routes), Customers: pimento.NewCustomerTable(m.Customers)}
 }
 
 // Permit allows one request to be sent to one upstream.
@@ -61,6 +67,9 @@
 	Number int                    // from one
 	Again  bool                   // a permit of this attempt was given back unused
 	Avoid  []pimento.UpstreamName // used by earlier attempts
+	// Charged means that a permit was issued before, so that the request counts for the
+	// quota of its customer.
+	Charged bool
 }
 
 // Dispatcher issues permits.
@@ -124,6 +133,10 @@
 	if route == nil {
 		return pimento.Answer{}, pimento.NotRun(pimento.ReasonNoRoute, "no route for this host and path")
 	}
+	if decided.isUnauthorized() {
+		return pimento.Answer{}, pimento.NotRun(pimento.ReasonUnauthorized, "no customer holds the API key of the request")
+	}
+	f.setCustomer(r, decided, arrived)
 	r.Route = route
 	r.Service = f.nextTarget(route)
 	if service, _ := view.Manifest.Service(r.Service); f.RequireKey && service.Sharing == pimento.SharingKeyed && !r.Keyed {
@@ -181,6 +194,9 @@
 	if len(attempt.Avoid) < attempt.Number {
 		return false // refused by the dispatcher, not by an upstream
 	}
+	if failure.Reason == pimento.ReasonUnauthorized || failure.Reason == pimento.ReasonStaleManifest {
+		return false
+	}
 	return failure.Outcome == pimento.OutcomeNotRun || r.Route.Idempotent(r.Method)
 }
 
@@ -193,6 +209,7 @@
 	if err != nil {
 		return pimento.Answer{}, err
 	}
+	attempt.Charged = true
 	answer, _, err := permit.Serve(ctx, r, body)
 	if isAvoided(err) { // nothing was sent
 		permit.Done(err)
--- a/leader/cluster_test.go
+++ b/leader/cluster_test.go
@@ -753,6 +753,9 @@
 	return v
 }
 
+// CreditsGranted implements Member.
+func (p *process) CreditsGranted(uint64, *messenger.Credits) {}
+
 // Report implements Member. The hot keys change every 4 s, so that keys move.
 func (p *process) Report() messenger.Report {
 	p.cluster.pause(p.self.Host)
--- a/leader/heartbeat.go
+++ b/leader/heartbeat.go
@@ -75,6 +75,9 @@
 	for id := range t.members {
 		if l.ended(id) {
 			delete(t.members, id)
+			if t.credits != nil {
+				t.credits.Forget(id)
+			}
 			go l.Peers.Forget(id)
 		}
 	}
@@ -101,6 +104,7 @@
 	q := &messenger.Heartbeat{
 		Term: l.elector.Term(), StoreLost: !l.StoreReachable(), Versions: t.versions, Era: l.storeEra.Load(),
 		Confirmation: l.confirmation(m), Upstreams: l.upstreamsConfirmation(timekeeper.Now(), m),
+		Credits: l.creditsFor(timekeeper.Now(), m.process.ID),
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(t.ctx, heartbeatTimeout)
@@ -135,6 +139,10 @@
 	if l.term != nil {
 		l.logCrashes(m.process.ID, l.term.applyReport(now, r.Report))
 		l.term.applyNotices(now, m.process.ID, r.Report)
+		l.applyUses(now, m.process.ID, r.Report)
+		if l.term.credits != nil && l.term.credits.IsShort(m.process.ID) {
+			m.heartbeatAt = now
+		}
 	}
 }
 
@@ -177,6 +185,7 @@
 			l.heardLeader = true
 			l.Member.Announced(q.Versions)
 			l.handleUpstreamsConfirmation(q.Term.Epoch, q.Upstreams)
+			l.Member.CreditsGranted(q.Term.Epoch, q.Credits)
 		}
 		answer := &messenger.HeartbeatReply{
 			Epoch: l.elector.Term().Epoch, Confirmed: confirmed, Leaving: l.leaving.Load(),
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -29,6 +29,7 @@
 	"time"
 
 	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/allocator"
 	"pimentorelay.example/pimento/elector"
 	"pimentorelay.example/pimento/keeper"
 	"pimentorelay.example/pimento/limiter"
@@ -95,6 +96,9 @@
 	KnownUpstreams() KnownUpstreams
 	// Report returns the measurements since the last report.
 	Report() messenger.Report
+	// CreditsGranted is called with what the leader of an epoch grants of the quotas of
+	// customers; nil: nothing.
+	CreditsGranted(epoch uint64, c *messenger.Credits)
 	// Versions returns the versions of the state that this process has.
 	Versions() messenger.Versions
 	// Process returns a process of the roster that the leader has sent.
@@ -181,9 +185,14 @@
 	crashes    quarantiner.Book                 // that members have reported
 	capacities map[pimento.UpstreamName]float64 // requests per second
 	limits     limiter.Book
-	pauses     pauses
-	versions   messenger.Versions
-	owners     []messenger.Owner
+	credits    *allocator.Allocator // nil: no customer has a quota, or this process has no authority
+	creditsOf  *pimento.Manifest    // that credits was made from
+	tolerance  allocator.Tolerance  // in credits
+	// dispatchersOf is the assignment whose dispatchers credits knows.
+	dispatchersOf *pimento.Assignment
+	pauses        pauses
+	versions      messenger.Versions
+	owners        []messenger.Owner
 	// ownersChangedAt are the versions at which each of the owners last changed.
 	ownersChangedAt []uint64
 	nextOwners      []messenger.Owner // scratch space
@@ -390,11 +399,14 @@
 	if l.HasAuthority() || t.lastAuthorityAt.IsZero() {
 		t.lastAuthorityAt = now
 	}
+	l.updateCredits(now)
 	l.sendHeartbeats(now)
 	if !now.Before(t.reportAt) {
 		t.reportAt = now.Add(l.ElectorTiming.HeartbeatInterval)
+		l.Member.CreditsGranted(l.elector.Term().Epoch, l.creditsFor(now, l.Self.ID))
 		report := l.Member.Report()
 		l.logCrashes(l.Self.ID, t.applyReport(now, report))
+		l.applyUses(now, l.Self.ID, report)
 		t.applyNotices(now, l.Self.ID, report)
 		t.pauses.prune(now)
 	}
--- a/leader/push.go
+++ b/leader/push.go
@@ -216,7 +216,9 @@
 		out.Limits, found = t.limits.Reports(timekeeper.Now()), true
 	}
 	if have.Manifest < t.versions.Manifest {
-		_, out.Manifest = l.Member.Manifest()
+		var manifest *pimento.Manifest
+		manifest, out.Manifest = l.Member.Manifest()
+		out.Secret = manifest != nil && manifest.Authenticated
 		found = true
 	}
 	if !found {
--- a/leader/push_test.go
+++ b/leader/push_test.go
@@ -127,6 +127,8 @@
 
 func (m *fixedMember) Apply(*messenger.State)   {}
 func (m *fixedMember) Report() messenger.Report { return messenger.Report{} }
+
+func (m *fixedMember) CreditsGranted(uint64, *messenger.Credits) {}
 func (m *fixedMember) Process(pimento.ProcessID) (pimento.Process, bool) {
 	return pimento.Process{}, false
 }
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -168,6 +168,10 @@
 		}
 		return
 	}
+	if err := msg.unseal(m.Self.Token); err != nil {
+		l.conn.Close() // not from a process that has read the store
+		return
+	}
 	m.Handler.Handle(l, msg, reply)
 }
 
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -88,6 +88,10 @@
 	call, replies := conn.addCall()
 	defer conn.removeCall(call)
 	msg.Call = call
+	msg, err = msg.sealed(to.Token)
+	if err != nil {
+		return nil, &pimento.UnreachableError{Target: string(to.ID), Cause: err, Unsent: true}
+	}
 	if err := conn.out.write(msg); err != nil {
 		conn.fail(err)
 		return nil, &pimento.UnreachableError{Target: string(to.ID), Cause: err}
--- a/messenger/state.go
+++ b/messenger/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/allocator"
 	"pimentorelay.example/pimento/limiter"
 	"pimentorelay.example/pimento/quarantiner"
 )
@@ -20,6 +21,14 @@
 	// Upstreams dates its last read of the upstreams; nil: it has none, or is a process
 	// of an older version.
 	Upstreams *Confirmation `cbor:",omitempty"`
+	// Credits are what the member gets of the quotas of customers; nil: there are none.
+	Credits *Credits `cbor:",omitempty"`
+}
+
+// Credits are what a member gets of the quotas of customers.
+type Credits struct {
+	Dispatchers int               `cbor:"1,keyasint"` // that issue permits first
+	Grants      []allocator.Grant `cbor:"2,keyasint,omitempty"`
 }
 
 // Versions are the versions of the parts of the state; a higher one is newer. The
@@ -56,6 +65,10 @@
 	// not.
 	Leaving []pimento.Run `cbor:",omitempty"`
 	Paused  []Pause       `cbor:",omitempty"`
+	// Uses are what customers with a quota have asked for, and the credits left of those that
+	// the leader of UsesEpoch has granted.
+	Uses      []allocator.Use `cbor:",omitempty"`
+	UsesEpoch uint64          `cbor:",omitempty"`
 }
 
 // Pause says that a run of an upstream wants nothing from the process that reports it.
@@ -100,8 +113,11 @@
 	Roster    *Roster
 	Upstreams *UpstreamList
 	Owners    *OwnerList
-	Manifest  []byte           // as stored
-	Limits    []limiter.Report `cbor:",omitempty"` // all that the leader knows
+	Manifest  []byte // as stored
+	// Secret means that the manifest has API keys: it is sent as SealedManifest.
+	Secret         bool             `cbor:"-"`
+	SealedManifest []byte           `cbor:",omitempty"`
+	Limits         []limiter.Report `cbor:",omitempty"` // all that the leader knows
 	// CrashFacts are those that were added or cleared since the version that the member
 	// has.
 	CrashFacts []quarantiner.Fact `cbor:",omitempty"`
@@ -235,6 +251,10 @@
 	Barred      []Bar                   `cbor:"13,keyasint,omitempty"`
 	Again       bool                    `cbor:"14,keyasint,omitempty"` // the permit of this attempt was given back unused
 	Warm        []pimento.UpstreamName  `cbor:"15,keyasint,omitempty"` // to which the sender has an idle connection
+
+	Customer         pimento.CustomerName `cbor:"16,keyasint,omitempty"`
+	CustomerPriority int                  `cbor:"17,keyasint,omitempty"`
+	Charged          bool                 `cbor:"18,keyasint,omitempty"` // an earlier permit counts for the quota
 }
 
 // Bar excludes a run of an upstream for a request.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -139,7 +139,7 @@
 // Begin records a request and reports that it is new, or returns the record of an
 // earlier request with the same ID. The error is a *pimento.OutcomeError.
 func (g *Registrar) Begin(ctx context.Context, r *pimento.Request) (pimento.Record, bool, error) {
-	record := pimento.Record{ID: r.ID, Service: r.Service, Runner: g.Self.ID, State: pimento.RecordRunning}
+	record := pimento.Record{ID: r.RecordID(), Service: r.Service, Runner: g.Self.ID, State: pimento.RecordRunning}
 	deadline := time.Now().Add(beginTimeout)
 	for {
 		reply, err := g.registerAtPrimary(ctx, record)
--- a/router/confirmer.go
+++ b/router/confirmer.go
@@ -37,6 +37,12 @@
 type confirmer struct {
 	read  func(ctx context.Context) error // that calls confirm
 	apply func() time.Duration            // until a manifest must be in force
+	// revoke returns the time after which a key that was taken away must not be used, zero
+	// if there is no such bound; nil: there is none.
+	revoke func() time.Duration
+	// isVouched reports whether the newest manifest may be as old as a read of the store
+	// shows; see mayTrustStore. nil: always.
+	isVouched func() bool
 	// away reports whether a read would be in vain, since the store is known to be away;
 	// nil: never.
 	away func() bool
@@ -141,6 +147,23 @@
 	return age-time.Since(arrived) <= apply
 }
 
+// keyMargin is the part of the time until a key must not be used that is kept for clocks
+// that differ.
+const keyMargin = 0.05
+
+// MayUseKeys implements forwarder.Currency.
+func (c *confirmer) MayUseKeys(arrived time.Time) bool {
+	if c.revoke == nil || c.revoke() == 0 {
+		return true
+	}
+	if c.isVouched != nil && !c.isVouched() {
+		return false
+	}
+	bound := time.Duration((1 - keyMargin) * float64(c.revoke()))
+	age := time.Duration(timekeeper.Now().UnixNano() - c.confirmedAt.Load())
+	return age-time.Since(arrived) <= bound
+}
+
 // start begins a read, unless one is in progress or failed just before.
 func (c *confirmer) start() {
 	c.mu.Lock()
--- a/router/follower.go
+++ b/router/follower.go
@@ -79,6 +79,13 @@
 	return report
 }
 
+// CreditsGranted implements leader.Member.
+func (f *follower) CreditsGranted(epoch uint64, c *messenger.Credits) {
+	if c != nil {
+		f.router.admitter.ApplyCredits(epoch, c.Dispatchers, c.Grants)
+	}
+}
+
 // Apply implements leader.Member. A state may arrive late, over a connection that
 // was given up, so parts that are not newer than those known are ignored.
 func (f *follower) Apply(s *messenger.State) {
@@ -222,7 +229,7 @@
 		Processes: make(map[pimento.ProcessID]pimento.Process),
 	}
 	if v := f.view.Load(); v != nil {
-		s.Services = v.Manifest.Services
+		s.Services, s.Customers = v.Manifest.Services, v.Customers
 	}
 	if f.roster != nil {
 		s.Pools = f.roster.Pools
--- /dev/null
+++ b/router/keys_test.go
@@ -0,0 +1,49 @@
+package router
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pimentorelay.example/pimento/leader"
+	"pimentorelay.example/pimento/timekeeper"
+)
+
+// TestKeysExpireWithTheManifest guards against a process that uses API keys which may have been
+// taken away long before: one that is cut off, was suspended, or has a store that was restored
+// from a copy. The clock of the manifest counts suspensions, that of a request does not.
+func TestKeysExpireWithTheManifest(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000_000, 0)
+	t.Cleanup(timekeeper.SetClock(func() time.Time { return now }))
+	bound, vouched := 5*time.Second, true
+	c := newConfirmer(func(context.Context) error { return nil }, func() time.Duration { return 2 * time.Second })
+	c.revoke = func() time.Duration { return bound }
+	c.isVouched = func() bool { return vouched }
+	is.True(!c.MayUseKeys(time.Now())) // no manifest was ever confirmed
+
+	c.answered(leader.ManifestRead{BeganAt: now, Version: 3})
+	is.True(c.MayUseKeys(time.Now()))
+	now = now.Add(4500 * time.Millisecond)
+	is.True(c.MayUseKeys(time.Now()))
+	now = now.Add(400 * time.Millisecond) // within the bound, but not the margin of clocks
+	is.True(!c.MayUseKeys(time.Now()))
+	is.True(c.MayUseKeys(time.Now().Add(-time.Second))) // it arrived while the keys were in force
+
+	c.confirm(now)
+	is.True(c.MayUseKeys(time.Now()))
+	now = now.Add(time.Hour) // a suspension
+	is.True(!c.MayUseKeys(time.Now().Add(-time.Second)))
+
+	c.confirm(now)
+	vouched = false // the process has just started and has heard of no leader
+	is.True(!c.MayUseKeys(time.Now()))
+	vouched = true
+	c.forget() // the store was restored from a copy
+	is.True(!c.MayUseKeys(time.Now()))
+
+	bound = 0
+	is.True(c.MayUseKeys(time.Now()))
+}
--- a/router/manifest.go
+++ b/router/manifest.go
@@ -120,6 +120,13 @@
 	return !r.leader.IsLeader() && !f.ManifestReadAt().IsZero() && !f.lacksAnnounced() && time.Since(r.self.Started) < firstLeaderWait
 }
 
+// mayTrustStore reports whether the manifest in the store may decide alone which API keys
+// are in force. A store that was restored from a copy may show one that operators have
+// replaced, so a process that has just started waits for its leader to announce a version.
+func (f *follower) mayTrustStore() bool {
+	return f.announcedVersion() > 0 || f.router.leader.IsLeader() || time.Since(f.router.self.Started) >= firstLeaderWait
+}
+
 // lacksAnnounced reports whether the leader has announced a newer manifest than the
 // one in force here.
 func (f *follower) lacksAnnounced() bool {
@@ -159,7 +166,7 @@
 	f.manifestReadAt = began
 	version := f.versions.Manifest
 	f.mu.Unlock()
-	if after.IsZero() && revision.Era >= f.router.storeEra.Load() {
+	if after.IsZero() && revision.Era >= f.router.storeEra.Load() && !f.lacksAnnounced() {
 		f.confirmer.answered(leader.ManifestRead{BeganAt: beganAt, Version: version, Era: revision.Era})
 	}
 	return revision, nil
@@ -174,9 +181,16 @@
 	if revision.Era < f.router.storeEra.Load() {
 		return errFormerEra
 	}
+	if f.lacksAnnounced() {
+		return errOldCopy
+	}
 	return nil
 }
 
+// errOldCopy means that the store shows an older manifest than the leader has announced, as
+// one that was restored from a copy does.
+var errOldCopy = errors.New("the store has an older manifest than the leader has announced")
+
 // errFormerEra means that an answer is of a time before the store was restored.
 var errFormerEra = errors.New("the answer is of a former era of the store")
 
@@ -268,10 +282,11 @@
 		f.router.events.Emit(pimento.EventConfigInvalid, "Name", "manifest", "From", origin.From, "Revision", origin.Revision, "Cause", err)
 		return
 	}
-	next := &forwarder.View{Manifest: &m, Routes: pimento.NewRouteTable(m.Routes)}
+	next := forwarder.NewView(&m)
 	took := time.Since(start)
 	f.mu.Lock()
-	if old := f.view.Load(); old != nil && old.Manifest.Version >= m.Version {
+	old := f.view.Load()
+	if old != nil && old.Manifest.Version >= m.Version {
 		f.mu.Unlock()
 		f.router.observer.manifestDecoded(manifestOld, took)
 		return
@@ -286,6 +301,7 @@
 	f.mu.Unlock()
 	f.router.observer.manifestDecoded(manifestAdopted, took)
 	f.router.events.Emit(pimento.EventManifestAdopted, "Version", m.Version, "Routes", len(m.Routes), "Services", len(m.Services), "Bytes", len(value),
-		"From", origin.From, "Revision", origin.Revision, "Decoding", roundToMillis(took), "Announced", roundToMillis(waited))
+		"From", origin.From, "Revision", origin.Revision, "Decoding", roundToMillis(took), "Announced", roundToMillis(waited), "Customers", len(m.Customers))
+	f.router.observer.keysChanged(old, next)
 	f.router.admitter.Update(snapshot)
 }
--- a/router/observer.go
+++ b/router/observer.go
@@ -30,6 +30,7 @@
 	// on the clock of timekeeper; zero: never.
 	manifestConfirmedAt func() time.Time
 
+	customers    customerCounts
 	usedManifest atomic.Uint64 // latest version under which a request has ended
 }
 
@@ -44,6 +45,7 @@
 // Ended implements forwarder.Observer.
 func (o *observer) Ended(r *pimento.Request, t *forwarder.Trace, status int, err error) {
 	o.reportUse(r, t)
+	o.customers.add(r, err)
 	route := pimento.RouteName("")
 	if r.Route != nil {
 		route = r.Route.Name
@@ -184,6 +186,12 @@
 	if r.Keyed {
 		out = append(out, "Key", r.Key)
 	}
+	switch {
+	case r.Customer != nil:
+		out = append(out, "Customer", r.Customer.Name)
+	case r.Route == nil && r.APIKey != "":
+		out = append(out, "APIKey", r.APIKey.Fingerprint())
+	}
 	out = append(out, "Manifest", t.Manifest, "Epoch", o.epoch(), "Took", roundToMillis(now.Sub(t.StartedAt)), "Waited", roundToMillis(t.Waited), "Left", roundToMillis(r.Deadline.Sub(now)))
 	if r.Route != nil {
 		out = append(out, "GoalMissed", now.After(r.GoalAt))
--- a/router/operators.go
+++ b/router/operators.go
@@ -22,6 +22,7 @@
 	mux.HandleFunc("GET /readyz", r.readyz)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		r.metrics.WritePrometheus(w)
+		r.observer.customers.writeMetrics(w)
 		metrics.WriteProcessMetrics(w)
 	})
 	mux.HandleFunc("GET /status", r.requireToken(func() any { return r.Status() }))
--- a/router/router.go
+++ b/router/router.go
@@ -143,10 +143,13 @@
 		Self: r.self, Peers: r.messenger, Wire: r.UpstreamWire, RetryBudget: retryBudget(r.Bounds), LeavingBound: r.Bounds.Leaving,
 		OnLimit: r.observer.limitChanged, OnCrashFinding: r.observer.crashFound, OnNotice: r.observer.noticeChanged,
 	}
+	r.admitter.SetTolerance(leader.Tolerance(r.Bounds))
 	r.registrar = &registrar.Registrar{Self: r.self, Peers: r.messenger, Events: r.events}
 	r.follower = &follower{router: r, announcedNewer: make(chan struct{}, 1)}
 	r.follower.confirmer = newConfirmer(r.follower.readManifest, func() time.Duration { return r.bounds.Load().Apply })
 	r.follower.confirmer.away = r.storeIsAway
+	r.follower.confirmer.revoke = func() time.Duration { return r.bounds.Load().Revocation }
+	r.follower.confirmer.isVouched = r.follower.mayTrustStore
 	r.admitter.IsStale = r.follower.upstreamsAreStale
 	r.admitter.UpstreamsAge = r.follower.upstreamsAge
 	r.restored = make(chan struct{}, 1)
@@ -175,6 +178,7 @@
 	r.bounds.Store(&b)
 	r.admitter.SetRetryBudget(retryBudget(b))
 	r.admitter.SetLeavingBound(b.Leaving)
+	r.admitter.SetTolerance(leader.Tolerance(b))
 }
 
 // LogEvent logs an event of the program that runs the Router.
