--- a/assembler/deployment.go
+++ b/assembler/deployment.go
@@ -50,6 +50,7 @@
 	Entries int            // number of entry processes; 0: one per failure domain
 	Work    time.Duration  // how long a request occupies a slot
 	Warm    bool           // upstreams do not start cold
+	Bounds  pimento.Bounds // zero: the defaults
 	Log     hclog.Logger
 	// ExternalEntries means that Start starts no entry processes.
 	ExternalEntries bool
@@ -85,6 +86,9 @@
 	if d.Entries == 0 {
 		d.Entries = len(d.Config.Domains)
 	}
+	if d.Bounds == (pimento.Bounds{}) {
+		d.Bounds = pimento.DefaultBounds()
+	}
 	d.Store = storefaker.New()
 	address, err := d.serve(&http.Server{Handler: d.Store})
 	if err != nil {
@@ -156,7 +160,7 @@
 	}
 	e := &Entry{done: make(chan error, 1), router: &router.Router{
 		Host: host, Domain: domain, Peer: loopback, Caller: loopback, Operator: loopback,
-		Store: store, Source: source, Bounds: pimento.DefaultBounds(), RequireKey: true,
+		Store: store, Source: source, Bounds: d.Bounds, RequireKey: true,
 		CallerWire: translator.Wire{}, UpstreamWire: translator.Wire{}, Log: d.Log.Named(string(host)),
 		OnRegistered: func(p pimento.Process) { started <- p },
 	}}
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -150,6 +150,7 @@
 	pimento.EventUpstreamLost: "upstream", pimento.EventUpstreamBack: "upstream", pimento.EventGrantFailed: "grant",
 	pimento.EventLimitNamed: "limit", pimento.EventLimitEnded: "limit", pimento.EventLimitInvalid: "limit",
 	pimento.EventLeavingNamed: "leaving", pimento.EventPauseNamed: "pause", pimento.EventPauseEnded: "pause", pimento.EventPauseInvalid: "pause",
+	pimento.EventQuotaExhausted: "quota", pimento.EventQuotaRegained: "quota", pimento.EventAPIKeyAdded: "API key", pimento.EventAPIKeyRemoved: "API key",
 	pimento.EventReleased: "release", pimento.EventKeysMoved: "keys",
 	pimento.EventProcessStopping: "process", pimento.EventProcessStarted: "process", pimento.EventSettingsChanged: "settings",
 }
@@ -170,6 +171,14 @@
 			if coversKey || containsName(attempts, x.Fields["Upstream"]) {
 				return subject + " " + x.Fields["Upstream"], true
 			}
+		case "quota":
+			if x.Fields["Customer"] != "" && x.Fields["Customer"] == step.Fields["Customer"] {
+				return subject + " " + x.Fields["Customer"], true
+			}
+		case "API key":
+			if x.Fields["APIKey"] != "" && x.Fields["APIKey"] == step.Fields["APIKey"] {
+				return subject + " " + x.Fields["APIKey"], true
+			}
 		case "keys":
 			if movesKey(x.Fields["Moves"], step.Fields["Service"], step.Fields["Key"]) {
 				return subject, true
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -103,3 +103,26 @@
 	is.Equal(r.KnownState[0].Number, pimento.EventLeavingNamed)
 	is.Equal(r.KnownState[1].Fields["For"], "30s")
 }
+
+// TestCustomerBehindRefusal guards against a request that was refused because of a quota or an
+// API key, and a report without what was known of it.
+func TestCustomerBehindRefusal(t *testing.T) {
+	is := is.New(t)
+	const text = `
+{"@timestamp":"2026-02-02T18:00:08.000000Z","Event":7003,"Process":"l","Customer":"a","Rate":20,"Demand":80,"Manifest":7}
+{"@timestamp":"2026-02-02T18:00:08.500000Z","Event":7003,"Process":"l","Customer":"b","Rate":10,"Demand":90,"Manifest":7}
+{"@timestamp":"2026-02-02T18:00:08.600000Z","Event":7002,"Process":"a","Customer":"b","APIKey":"01020304","Manifest":8}
+{"@timestamp":"2026-02-02T18:00:09.000000Z","Event":6002,"Process":"a","Request":"x1","Customer":"a","Reason":"Quota"}
+{"@timestamp":"2026-02-02T18:00:10.000000Z","Event":6002,"Process":"a","Request":"x2","APIKey":"01020304","Reason":"Unauthorized"}
+`
+	var l Log
+	is.NoErr(l.Read(strings.NewReader(text)))
+	r, ok := l.Explain("x1")
+	is.True(ok)
+	is.Equal(len(r.KnownState), 1)
+	is.Equal(r.KnownState[0].Fields["Demand"], "80")
+	r, ok = l.Explain("x2")
+	is.True(ok)
+	is.Equal(len(r.KnownState), 1)
+	is.Equal(r.KnownState[0].Fields["Customer"], "b")
+}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -50,6 +50,7 @@
 	URL     string
 	Key     string
 	ID      string // Idempotency-Key
+	APIKey  pimento.APIKey
 	Body    []byte
 	Timeout time.Duration // zero: the default
 }
@@ -147,6 +148,9 @@
 	if r.ID != "" {
 		req.Header.Set(pimento.HeaderIdempotencyKey, r.ID)
 	}
+	if r.APIKey != "" {
+		req.Header.Set(pimento.HeaderAuthorization, "Bearer "+string(r.APIKey))
+	}
 	res, err := client.Do(req)
 	if err != nil {
 		return nil, nil, err
@@ -176,6 +180,7 @@
 	Callers int
 	Keyed   string // path of a category that is divided by key
 	Orders  string // path of a category for orders
+	APIKey  pimento.APIKey
 
 	mu      sync.Mutex
 	stopped bool
@@ -230,6 +235,7 @@
 		if n%orderEvery == 0 {
 			r = Request{Method: http.MethodPost, URL: url + s.Orders, ID: fmt.Sprintf("order-%d-%d", caller, n), Body: []byte("track pieces")}
 		}
+		r.APIKey = s.APIKey
 		started := time.Now()
 		_, err := Send(context.Background(), r)
 		s.record(r, err, time.Since(started))
--- a/soak/entry.go
+++ b/soak/entry.go
@@ -61,6 +61,7 @@
 		return err
 	}
 	cmd := exec.Command(program, "run", "--host", e.name, "--domain", e.domain, "--platform", store.String(), "--log-json",
+		"--revocation", revocation.String(), "--quota-overshoot", fmt.Sprint(quotaOvershoot), "--quota-slack", fmt.Sprint(quotaSlack),
 		"--peer", e.peer.String(), "--caller", e.caller.String(), "--operator", e.operator.String())
 	cmd.Stderr = log
 	if err := cmd.Start(); err != nil {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -69,16 +69,18 @@
 	if err := s.start(); err != nil {
 		return err
 	}
-	stream := &sender.Stream{Callers: callerCount, Keyed: keyedPath, Orders: orderPath}
+	stream := &sender.Stream{Callers: callerCount, Keyed: keyedPath, Orders: orderPath, APIKey: usualKey}
 	for _, e := range s.entries {
 		stream.URLs = append(stream.URLs, "http://"+e.caller.String())
 	}
 	stream.Start()
+	customers := s.startCustomers()
 	log := s.injectFaults()
 	s.faultEnds.Wait()
 	recoveryErr := s.awaitRecovery()
 	stream.Stop()
-	err := errors.Join(recoveryErr, s.check(stream))
+	customers.stop()
+	err := errors.Join(recoveryErr, s.check(stream), customers.check(s.deployment))
 	fmt.Printf("seed %d: %d faults; %s\n", s.Seed, len(log), stream.Summary())
 	if err != nil {
 		fmt.Println(strings.Join(log, "\n"))
@@ -90,7 +92,7 @@
 // config returns the configuration of the deployment.
 func (s *soak) config() (pimento.Config, error) {
 	var b strings.Builder
-	b.WriteString("Kind,Name,Service,Domain,Host,Address,Sharing,Fencing,Slots,Connections,State\n")
+	b.WriteString("Kind,Name,Service,Domain,Host,Address,Sharing,Fencing,Slots,Connections,State,Access,Keys,Rate,Burst,Priority\n")
 	b.WriteString("Service,guidebook,,,,,Keyed,Checked,,,\nService,partsdesk,,,,,Unkeyed,Unchecked,,,\n")
 	b.WriteString("Category,TIMEOUT 504,guidebook,,,,,,,,\nCategory,connection refused,partsdesk,,,,,,,,\n")
 	for d := range domainCount {
@@ -101,6 +103,7 @@
 		fmt.Fprintf(&b, "Upstream,guidebook-%d,guidebook,,h%d,127.0.0.1:%d,,,4,50,\n", i, i, 1000+i)
 		fmt.Fprintf(&b, "Upstream,partsdesk-%d,partsdesk,,h%d,127.0.0.1:%d,,,4,50,\n", i, i, 2000+i)
 	}
+	b.WriteString(customerRows)
 	return parser.Parse(strings.NewReader(b.String()))
 }
 
@@ -209,7 +212,7 @@
 func (s *soak) probe() error {
 	for _, e := range s.entries {
 		for k := range 16 {
-			r := sender.Request{Method: "GET", URL: "http://" + e.caller.String() + keyedPath, Key: fmt.Sprintf("probe-%d", k), Timeout: 2 * time.Second}
+			r := sender.Request{Method: "GET", URL: "http://" + e.caller.String() + keyedPath, Key: fmt.Sprintf("probe-%d", k), APIKey: usualKey, Timeout: 2 * time.Second}
 			if _, err := sender.Send(context.Background(), r); err != nil {
 				return fmt.Errorf("%s: %w", e.name, err)
 			}
--- a/upstreamfaker/dialect.go
+++ b/upstreamfaker/dialect.go
@@ -27,7 +27,8 @@
 	ColdHeader     string
 	LimitHeader    string
 	LeavingHeader  string
-	Seconds        bool // the platform's units and field names: seconds in bodies, lower case
+	CustomerHeader string // name of the customer of the caller
+	Seconds        bool   // the platform's units and field names: seconds in bodies, lower case
 	FromField      string
 	ToField        string
 	HoldField      string
@@ -39,7 +40,8 @@
 	IDHeader: pimento.HeaderRequestID, TargetHeader: pimento.HeaderUpstream, KeyHeader: pimento.HeaderKeyPosition, UpstreamHeader: pimento.HeaderUpstream,
 	NotRunHeader: pimento.HeaderOutcome, NotRunValue: string(pimento.OutcomeNotRun), LoadHeader: pimento.HeaderLoad,
 	HandoverHeader: pimento.HeaderHandover, ColdHeader: pimento.HeaderCold, LimitHeader: pimento.HeaderLimit, LeavingHeader: pimento.HeaderLeaving,
-	FromField: "From", ToField: "To", HoldField: "Hold",
+	CustomerHeader: pimento.HeaderCustomer,
+	FromField:      "From", ToField: "To", HoldField: "Hold",
 }
 
 // PlatformDialect is that of the users' platform.
@@ -48,7 +50,8 @@
 	IDHeader: "Pimentorelay-Attempt-Id", TargetHeader: "Pimentorelay-Target-Instance", KeyHeader: "Pimentorelay-Shard-Key",
 	UpstreamHeader: "Pimentorelay-Instance-Id", NotRunHeader: "Pimentorelay-Not-Executed", NotRunValue: "1",
 	LoadHeader: "Pimentorelay-Server-Load", HandoverHeader: "Pimentorelay-Handover", ColdHeader: "Pimentorelay-Warmup-Ms", LimitHeader: "Server-Limit", LeavingHeader: "Server-Leaving", Seconds: true,
-	FromField: "from", ToField: "target", HoldField: "hold_s",
+	CustomerHeader: "Pimentorelay-Tenant",
+	FromField:      "from", ToField: "target", HoldField: "hold_s",
 }
 
 // keysRequest is the body of a grant or a release.
--- a/upstreamfaker/request.go
+++ b/upstreamfaker/request.go
@@ -21,6 +21,8 @@
 	id         string
 	key        pimento.Key
 	idempotent bool
+	customer   pimento.CustomerName
+	hasAPIKey  bool
 	started    time.Time
 	digest     string
 	bodyBytes  int64
@@ -100,6 +102,7 @@
 	slowdown := max(s.faults.SlowBy, 1)
 	req := &request{
 		id: r.Header.Get(d.IDHeader), key: pimento.Key(key),
+		customer: pimento.CustomerName(r.Header.Get(d.CustomerHeader)), hasAPIKey: r.Header.Get(pimento.HeaderAuthorization) != "",
 		idempotent: pimento.IsIdempotent(r.Method), started: time.Now(), serverCtx: s.ctx, slots: s.slots,
 		duration: time.Duration(float64(s.Work) * slowdown),
 		crashes:  s.faults.CrashOn != "" && strings.Contains(r.URL.Path, s.faults.CrashOn),
@@ -209,7 +212,7 @@
 		return false
 	}
 	if len(s.journal) < maxJournalRuns {
-		s.journal = append(s.journal, Run{ID: req.id, Key: req.key, Idempotent: req.idempotent, Started: req.started, Ended: time.Now()})
+		s.journal = append(s.journal, Run{ID: req.id, Key: req.key, Idempotent: req.idempotent, Started: req.started, Ended: time.Now(), Customer: req.customer, HasAPIKey: req.hasAPIKey})
 	}
 	return true
 }
--- a/upstreamfaker/server.go
+++ b/upstreamfaker/server.go
@@ -82,6 +82,8 @@
 	Idempotent bool
 	Started    time.Time
 	Ended      time.Time
+	Customer   pimento.CustomerName // of the caller, as the relay said
+	HasAPIKey  bool                 // the request had an Authorization header
 }
 
 // Report holds the counts of the stand-in.
