--- a/event.go
+++ b/event.go
@@ -34,6 +34,7 @@
 	EventStoreRepaired   EventNumber = 2021
 	EventCopyTaken       EventNumber = 2022
 	EventUpstreamsRead   EventNumber = 2023
+	EventManifestNotes   EventNumber = 2024
 	EventUpstreamLost    EventNumber = 5001
 	EventUpstreamBack    EventNumber = 5002
 	EventRecordsLost     EventNumber = 5004
@@ -90,6 +91,7 @@
 	EventStoreRepaired:   "the leader has written its assignment again",
 	EventCopyTaken:       "process leads from a copy of the assignment",
 	EventUpstreamsRead:   "process reads the upstreams itself",
+	EventManifestNotes:   "manifest has values that are not known",
 	EventUpstreamLost:    "upstream lost",
 	EventUpstreamBack:    "upstream answers again",
 	EventRecordsLost:     "request records may be lost",
--- a/manifest.go
+++ b/manifest.go
@@ -25,6 +25,8 @@
 	// is public.
 	Authenticated bool
 	Customers     []Customer
+	// Notes are values that are not known here and were replaced by what is safe.
+	Notes []FieldError
 }
 
 // Service returns the service called name.
@@ -77,9 +79,9 @@
 			v.Add(fmt.Sprintf("Prefix of route %q", r.Name), r.Prefix, "a path that begins and ends with a slash")
 		}
 		switch r.Kind {
-		case RouteIdempotent, RouteOnce, RouteUpload, RouteByMethod:
+		case RouteIdempotent, RouteOnce, RouteUpload, RouteDownload, RouteByMethod:
 		default:
-			v.Add(fmt.Sprintf("Kind of route %q", r.Name), string(r.Kind), "Idempotent, Once, Upload or ByMethod")
+			v.Add(fmt.Sprintf("Kind of route %q", r.Name), string(r.Kind), "Idempotent, Once, Upload, Download or ByMethod")
 		}
 		if len(r.Targets) == 0 {
 			v.Add(fmt.Sprintf("Targets of route %q", r.Name), "", "one service or more")
--- a/route.go
+++ b/route.go
@@ -21,6 +21,8 @@
 	RouteOnce RouteKind = "Once"
 	// RouteUpload requests run at most once and have large bodies.
 	RouteUpload RouteKind = "Upload"
+	// RouteDownload requests may run more than once and have large answers.
+	RouteDownload RouteKind = "Download"
 	// RouteByMethod requests run at most once unless their method is
 	// idempotent (RFC 9110, section 9.2.2).
 	RouteByMethod RouteKind = "ByMethod"
@@ -49,7 +51,14 @@
 
 // Idempotent reports whether a request of the route may run more than once.
 func (r *Route) Idempotent(method string) bool {
-	return r.Kind == RouteIdempotent || r.Kind == RouteByMethod && IsIdempotent(method)
+	switch r.Kind {
+	case RouteIdempotent, RouteDownload:
+		return true
+	case RouteByMethod:
+		return IsIdempotent(method)
+	default:
+		return false
+	}
 }
 
 // RouteTable finds the route of a request. It does not change once built.
--- a/router/manifest.go
+++ b/router/manifest.go
@@ -303,5 +303,6 @@
 	f.router.events.Emit(pimento.EventManifestAdopted, "Version", m.Version, "Routes", len(m.Routes), "Services", len(m.Services), "Bytes", len(value),
 		"From", origin.From, "Revision", origin.Revision, "Decoding", roundToMillis(took), "Announced", roundToMillis(waited), "Customers", len(m.Customers))
 	f.router.observer.keysChanged(old, next)
+	f.router.observer.manifestNotes(&m)
 	f.router.admitter.Update(snapshot)
 }
--- a/router/observer.go
+++ b/router/observer.go
@@ -85,6 +85,21 @@
 	o.observeDuration("relay_manifest_decode_seconds", took, "Result", result)
 }
 
+// maxNotes bounds the notes on a manifest that are logged.
+const maxNotes = 20
+
+// manifestNotes logs the values of a manifest that are not known, in one line.
+func (o *observer) manifestNotes(m *pimento.Manifest) {
+	if len(m.Notes) == 0 {
+		return
+	}
+	texts := make([]string, 0, maxNotes)
+	for _, n := range m.Notes[:min(len(m.Notes), maxNotes)] {
+		texts = append(texts, n.Error())
+	}
+	o.events.Emit(pimento.EventManifestNotes, "Version", m.Version, "Count", len(m.Notes), "Notes", strings.Join(texts, "; "))
+}
+
 // stateSent records a state that was sent to another process.
 func (o *observer) stateSent(manifestBytes int, took time.Duration, err error) {
 	result := "Confirmed"
