Keep the memory of callers within a budget

Cause: about 64 requests of a connection are read before the first is answered, whatever they cost: a header line of 3 bytes takes over 100, each body 64 KiB. No code knew how much memory there is. Change: package meter: heads, bodies and answers are charged by their cost as they come; a connection above its share waits before its next request is read; if the budget, 0.3 of the memory of the process, is used up, the greediest connection is closed, and a request of the greediest refused as not run. Connections are bounded by the descriptors; an idle one gives way. The runtime collects garbage before 0.75 of the memory. Short bodies get buffers of their size. Refusals of heads do not repeat the caller's text, which may have an API key.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -30,6 +30,7 @@
 	"time"
 
 	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/meter"
 )
 
 const (
@@ -73,6 +74,14 @@
 	// moment; nil: always. Requests above limits that may be too old are not refused for
 	// good.
 	IsCurrent func(at time.Time) bool
+	// Budget bounds the memory that callers take; nil: nothing does.
+	Budget *meter.Budget
+	// MaxConnections bounds the connections of callers. Another one takes the place of the
+	// one that is idle for longest. Zero: there is no bound.
+	MaxConnections int
+	// OnReplaced is called for each connection that is closed for another one, or refused;
+	// it may be nil.
+	OnReplaced func()
 	// OnRefused is called for requests that are refused before they reach the
 	// Handler; it may be nil.
 	OnRefused func(r *pimento.Request, outcome *pimento.OutcomeError)
@@ -130,19 +139,81 @@
 
 func (a *Acceptor) serveConn(ctx context.Context, raw net.Conn) {
 	c := newConn(ctx, a, raw)
+	if !a.admit(c) {
+		raw.Close()
+		c.cancel()
+		return
+	}
+	go c.writeAnswers()
+	go func() {
+		c.readRequests()
+		a.remove(c)
+		<-c.writerDone
+		c.account.Close()
+	}()
+}
+
+// admit adds a connection, and reports whether there is room for it. If there is not, it takes
+// the place of one that is idle.
+func (a *Acceptor) admit(c *conn) bool {
+	a.mu.Lock()
+	full := a.MaxConnections > 0 && len(a.conns) >= a.MaxConnections
+	a.mu.Unlock()
+	if full && !a.closeIdlest() {
+		a.noteReplaced()
+		return false
+	}
+	c.account = a.Budget.Open(c.evict)
+	for !c.account.Reserve(connCost) {
+		if !a.closeIdlest() {
+			c.account.Close()
+			a.noteReplaced()
+			return false
+		}
+	}
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	if a.conns == nil {
 		a.conns = make(map[*conn]bool)
 	}
 	a.conns[c] = true
+	return true
+}
+
+// closeIdlest closes the connection that is idle for longest, and reports whether there was one.
+func (a *Acceptor) closeIdlest() bool {
+	a.mu.Lock()
+	var idlest *conn
+	var since time.Time
+	for c := range a.conns {
+		if at, ok := c.idle(); ok && (idlest == nil || at.Before(since)) {
+			idlest, since = c, at
+		}
+	}
+	if idlest != nil {
+		delete(a.conns, idlest)
+	}
 	a.mu.Unlock()
-	go c.writeAnswers()
-	go func() {
-		c.readRequests()
-		a.mu.Lock()
-		delete(a.conns, c)
-		a.mu.Unlock()
-	}()
+	if idlest == nil {
+		return false
+	}
+	idlest.raw.Close()
+	idlest.account.Close()
+	a.noteReplaced()
+	return true
+}
+
+func (a *Acceptor) noteReplaced() {
+	if a.OnReplaced != nil {
+		a.OnReplaced()
+	}
+}
+
+// remove removes a connection that has ended.
+func (a *Acceptor) remove(c *conn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.conns, c)
 }
 
 // Drain makes every further answer close its connection unless another request
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -83,7 +83,7 @@
 
 // startAcceptor returns a running acceptor, its handler, and a function that opens
 // connections to it.
-func startAcceptor(t *testing.T, limits pimento.Limits) (*Acceptor, *handler, func() net.Conn) {
+func startAcceptor(t *testing.T, limits pimento.Limits, configure ...func(*Acceptor)) (*Acceptor, *handler, func() net.Conn) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -94,6 +94,9 @@
 	h := &handler{started: make(chan string, 100), canceled: make(chan error, 100)}
 	a := &Acceptor{Handler: h, Wire: platform.Wire{}, Limits: func() pimento.Limits { return m.Limits }}
 	a.IsCurrent = func(time.Time) bool { return !h.stale.Load() }
+	for _, f := range configure {
+		f(a)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/acceptor/ahead.go
+++ b/acceptor/ahead.go
@@ -1,11 +1,17 @@
 package acceptor
 
-import "sync"
+import (
+	"sync"
+
+	"pimentorelay.example/pimento/meter"
+)
 
 // readAhead holds the part of a request's body that has arrived before the handler
 // reads it. The connection's reader fills it, so that it notices a caller that
 // disconnects while the request waits.
 type readAhead struct {
+	account *meter.Account
+
 	mu      sync.Mutex
 	changed sync.Cond // of the fields below
 	buf     []byte
@@ -17,8 +23,8 @@
 // maxReadAhead is how many bytes of a body are read ahead.
 const maxReadAhead = 448 << 10
 
-func newReadAhead() *readAhead {
-	a := &readAhead{}
+func newReadAhead(account *meter.Account) *readAhead {
+	a := &readAhead{account: account}
 	a.changed.L = &a.mu
 	return a
 }
@@ -28,12 +34,16 @@
 func (a *readAhead) add(p []byte, err error) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for len(a.buf) >= maxReadAhead && !a.ended {
-		a.changed.Wait()
+	n := int64(len(p)) * bodyCost
+	for !a.ended && (len(a.buf) >= maxReadAhead || len(a.buf) > 0 && !a.account.Reserve(n)) {
+		a.changed.Wait() // the handler reads what is there
 	}
 	if a.ended {
 		return false
 	}
+	if len(a.buf) == 0 {
+		a.account.Charge(n)
+	}
 	a.buf = append(a.buf, p...)
 	a.err = err
 	a.changed.Broadcast()
@@ -55,6 +65,7 @@
 	}
 	n := copy(p, a.buf)
 	a.buf = a.buf[n:]
+	a.account.Release(int64(n) * bodyCost)
 	a.changed.Broadcast()
 	return n, nil
 }
@@ -64,6 +75,7 @@
 func (a *readAhead) end(interrupt func()) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.account.Release(int64(len(a.buf)) * bodyCost)
 	a.buf, a.ended = nil, true
 	a.changed.Broadcast()
 	if !a.filled {
--- a/acceptor/ahead_test.go
+++ b/acceptor/ahead_test.go
@@ -100,7 +100,7 @@
 		{"the body broke off", io.ErrUnexpectedEOF, 4},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			a := newReadAhead()
+			a := newReadAhead(nil)
 			a.add([]byte("0123456789"), c.err)
 			a.finish()
 			if _, err := io.ReadFull(a, make([]byte, c.read)); err != nil {
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/meter"
 )
 
 // conn is one connection of a caller.
@@ -20,7 +21,9 @@
 	acceptor   *Acceptor
 	raw        net.Conn
 	r          *bufio.Reader
-	headLimit  *io.LimitedReader // under r, bounds the size of a header
+	head       *headReader // under r
+	account    *meter.Account
+	headCost   int64 // charged for the head that is read
 	w          *bufio.Writer
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -31,6 +34,7 @@
 	pending       int  // requests in queue or being answered
 	reading       bool // a request has arrived in part and is not in queue yet
 	closing       bool // the last answer has been written
+	idleSince     time.Time
 	closeWhenIdle bool // set by closeIdle
 }
 
@@ -39,12 +43,52 @@
 		acceptor: a, raw: raw, w: bufio.NewWriterSize(raw, bufferSize),
 		queue: make(chan *exchange, maxPipelined), writerDone: make(chan struct{}),
 	}
-	c.headLimit = &io.LimitedReader{R: raw}
-	c.r = bufio.NewReaderSize(c.headLimit, bufferSize)
+	c.head = &headReader{src: raw, left: noLimit}
+	c.r = bufio.NewReaderSize(c.head, bufferSize)
 	c.ctx, c.cancel = context.WithCancel(ctx)
+	c.idleSince = time.Now()
 	return c
 }
 
+// evict closes the connection, which takes too much memory, with all of its requests.
+func (c *conn) evict() {
+	c.raw.Close()
+	c.cancel()
+}
+
+// chargeHead charges a part of the head that is read.
+func (c *conn) chargeHead(bytes, lines int) bool {
+	n := headCost(bytes, lines)
+	if !c.account.Reserve(n) {
+		return false
+	}
+	c.headCost += n
+	return true
+}
+
+// awaitRoom waits until the requests of this connection take less than its share of the memory,
+// so that a caller that sends many ahead, or reads no answers, waits for itself. One request
+// may always be read.
+func (c *conn) awaitRoom() bool {
+	for {
+		ok, changed := c.account.HasRoom()
+		if ok || !c.isBusy() {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-c.ctx.Done():
+			return false
+		}
+	}
+}
+
+func (c *conn) isBusy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pending > 0
+}
+
 // readRequests reads requests until the connection ends.
 func (c *conn) readRequests() {
 	defer c.raw.Close()
@@ -63,7 +107,7 @@
 // linger discards input until the last answer has been written and lingerTimeout
 // passes without input. A caller that disconnects meanwhile cancels its requests.
 func (c *conn) linger() {
-	c.headLimit.N = noLimit
+	c.head.end()
 	for {
 		if err := c.raw.SetReadDeadline(time.Now().Add(lingerTimeout)); err != nil {
 			return
@@ -86,20 +130,19 @@
 // readRequest reads and starts one request and reports whether another may
 // follow.
 func (c *conn) readRequest() bool {
-	if !c.awaitRequest() {
+	if !c.awaitRoom() || !c.awaitRequest() {
 		return false
 	}
 	limits := c.acceptor.Limits()
 	if err := c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)); err != nil {
 		return false
 	}
-	c.headLimit.N = max(0, limits.HeaderBytes-int64(c.r.Buffered()))
-	req, err := http.ReadRequest(c.r)
+	req, err := c.readHead(limits)
 	arrived := time.Now()
 	if err != nil {
 		return c.refuseHeader(err)
 	}
-	c.headLimit.N = noLimit
+	c.head.end()
 	if err := c.raw.SetReadDeadline(time.Time{}); err != nil {
 		return false
 	}
@@ -121,10 +164,28 @@
 	return !x.last
 }
 
+// readHead reads and parses the head of a request.
+func (c *conn) readHead(limits pimento.Limits) (*http.Request, error) {
+	c.headCost = 0
+	if !c.account.Reserve(requestCost) {
+		c.head.refused = true
+		return nil, errNoRoom
+	}
+	c.headCost = requestCost
+	buffered, err := c.r.Peek(c.r.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if !c.head.begin(limits.HeaderBytes, buffered, c.chargeHead) {
+		return nil, errNoRoom
+	}
+	return http.ReadRequest(c.r)
+}
+
 // awaitRequest waits for the first byte of a request. The idle timeout ends only
 // connections without pending requests.
 func (c *conn) awaitRequest() bool {
-	c.headLimit.N = noLimit
+	c.head.end()
 	for {
 		if err := c.raw.SetReadDeadline(time.Now().Add(c.acceptor.Limits().IdleTimeout)); err != nil {
 			return false
@@ -171,6 +232,13 @@
 	c.reading = true
 }
 
+// idle returns since when no request is pending or arriving, false if one is.
+func (c *conn) idle() (since time.Time, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idleSince, c.pending == 0 && !c.reading
+}
+
 func (c *conn) isReading() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -186,19 +254,38 @@
 func (c *conn) refuseHeader(err error) bool {
 	reason := pimento.ReasonBadRequest
 	switch {
+	case c.head.refused:
+		reason = pimento.ReasonNoMemory
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		reason = pimento.ReasonCallerSlow
-	case c.headLimit.N <= 0:
+	case c.head.left <= 0:
 		reason = pimento.ReasonHeaderTooLarge
 	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isNetError(err):
+		c.account.Release(c.headCost)
 		return false // the caller has disconnected
 	}
-	x := &exchange{conn: c, last: true, request: &pimento.Request{}}
-	x.refuse(pimento.NotRun(reason, err.Error()))
+	x := &exchange{conn: c, last: true, request: &pimento.Request{}, cost: c.headCost}
+	refusal := pimento.NotRun(reason, headFault(err))
+	if reason == pimento.ReasonNoMemory {
+		refusal.RetryAfter = memoryRetryAfter
+	}
+	x.refuse(refusal)
 	c.enqueue(x)
 	return false
 }
 
+// headFault describes why a head could not be parsed, without the text of the caller: that may
+// contain an API key.
+func headFault(err error) string {
+	text, _, _ := strings.Cut(err.Error(), "\"")
+	text, _, _ = strings.Cut(text, ":")
+	return strings.TrimSpace(text)
+}
+
+// memoryRetryAfter is the time after which callers should retry that were refused for want of
+// memory.
+const memoryRetryAfter = 500 * time.Millisecond
+
 func isNetError(err error) bool {
 	var n net.Error
 	return errors.As(err, &n)
@@ -206,7 +293,7 @@
 
 // newExchange returns the exchange of a parsed request.
 func (c *conn) newExchange(req *http.Request, arrived time.Time, limits pimento.Limits) *exchange {
-	x := &exchange{conn: c, last: req.Close || !req.ProtoAtLeast(1, 1) || c.acceptor.draining.Load(), method: req.Method, turn: make(chan struct{})}
+	x := &exchange{conn: c, cost: c.headCost, last: req.Close || !req.ProtoAtLeast(1, 1) || c.acceptor.draining.Load(), method: req.Method, turn: make(chan struct{})}
 	r := &pimento.Request{
 		Method: req.Method, Path: req.RequestURI, Host: req.Host, Header: req.Header, BodyLength: req.ContentLength, ArrivedAt: arrived,
 	}
--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -26,6 +26,7 @@
 	prefix  []byte        // start of the body, read before the request runs
 	last    bool          // the connection is closed after this answer
 	err     error         // why the request is refused without being run
+	cost    int64         // charged to the account of the connection
 	turn    chan struct{} // closed when the earlier answers have been written
 
 	ready   chan struct{} // closed when answer or outcome is set; nil: already set
@@ -41,7 +42,15 @@
 	if err := x.conn.raw.SetReadDeadline(x.request.Deadline); err != nil {
 		return pimento.NotRun(pimento.ReasonBodyCut, err.Error())
 	}
-	prefix := make([]byte, bodyPrefixSize)
+	size := int64(bodyPrefixSize)
+	if x.request.BodyLength > 0 {
+		size = min(size, x.request.BodyLength+1) // to read the end of a short body as well
+	}
+	if !x.reserve(size * bodyCost) {
+		x.last = true
+		return refuseForMemory()
+	}
+	prefix := make([]byte, size)
 	n, err := io.ReadFull(x.body, prefix)
 	switch {
 	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) && x.body.isComplete():
@@ -63,6 +72,35 @@
 	return nil
 }
 
+// reserve charges more memory to the exchange, and reports whether there is room for it.
+func (x *exchange) reserve(n int64) bool {
+	if !x.conn.account.Reserve(n) {
+		return false
+	}
+	x.cost += n
+	return true
+}
+
+// refuseForMemory returns the refusal of a request for which there is no memory.
+func refuseForMemory() *pimento.OutcomeError {
+	out := pimento.NotRun(pimento.ReasonNoMemory, errNoRoom.Error())
+	out.RetryAfter = memoryRetryAfter
+	return out
+}
+
+// chargeAnswer charges the answer, which is there already, to the exchange.
+func (x *exchange) chargeAnswer() {
+	n := int64(0)
+	for name, values := range x.answer.Head.Header {
+		for _, v := range values {
+			n += headCost(len(name)+len(v), 1)
+		}
+	}
+	n += min(max(x.answer.Head.BodyLength, 0), bodyPrefixSize)
+	x.conn.account.Charge(n)
+	x.cost += n
+}
+
 // handle passes the request to the handler.
 func (x *exchange) handle() {
 	defer close(x.ready)
@@ -77,6 +115,7 @@
 	}
 	if err == nil {
 		x.answer = answer
+		x.chargeAnswer()
 		return
 	}
 	if !errors.As(err, &x.outcome) {
@@ -182,6 +221,7 @@
 		c.acceptor.active.Add(-1)
 		c.mu.Lock()
 		c.pending--
+		c.idleSince = time.Now()
 		c.mu.Unlock()
 	}
 }
@@ -194,6 +234,8 @@
 	if x.cancel != nil {
 		x.cancel()
 	}
+	x.conn.account.Release(x.cost)
+	x.answer, x.prefix = pimento.Answer{}, nil
 }
 
 // sendAnswer writes the answer or refusal of an exchange, and reports whether
@@ -418,7 +460,7 @@
 // that awaits a 100 Continue, or has been read, is left to the handler.
 func (b *body) startReadAhead() {
 	if b.sendContinue == nil && !b.isComplete() {
-		b.ahead = newReadAhead()
+		b.ahead = newReadAhead(b.conn.account)
 	}
 }
 
--- a/event.go
+++ b/event.go
@@ -16,6 +16,7 @@
 	EventLinesDropped    EventNumber = 1007
 	EventSettingsChanged EventNumber = 1008
 	EventSettingsInvalid EventNumber = 1009
+	EventCallerClosed    EventNumber = 1010
 	EventConfigInvalid   EventNumber = 2006
 	EventStoreLost       EventNumber = 2007
 	EventStoreRecovered  EventNumber = 2008
@@ -73,6 +74,7 @@
 	EventLinesDropped:    "log lines were left out",
 	EventSettingsChanged: "settings have changed",
 	EventSettingsInvalid: "changed settings are not valid",
+	EventCallerClosed:    "connection of a caller was closed for others",
 	EventConfigInvalid:   "configuration in the platform is not valid",
 	EventStoreLost:       "platform gives no answer",
 	EventStoreRecovered:  "platform answers again",
--- a/relay/run.go
+++ b/relay/run.go
@@ -46,13 +46,16 @@
 	Domain   string
 	Strength float64
 	Bounds   pimento.Bounds
+	Memory   string
 	Peer     string
 	Caller   string
 	Operator string
 	Platform string
-	LogLevel string
-	LogJSON  bool
-	Token    string
+	// Connections is how many callers may be connected; zero: as descriptors allow.
+	Connections int
+	LogLevel    string
+	LogJSON     bool
+	Token       string
 
 	logOutput *recorder.Writer
 }
@@ -86,6 +89,8 @@
 	f.DurationVar(&o.Bounds.QuotaWindow, "quota-window", o.Bounds.QuotaWindow, "time over which the excess of quotas counts")
 	f.Float64Var(&o.Bounds.QuotaOvershoot, "quota-overshoot", o.Bounds.QuotaOvershoot, "part by which a customer may exceed its quota in that time")
 	f.Float64Var(&o.Bounds.QuotaSlack, "quota-slack", o.Bounds.QuotaSlack, "requests by which it may exceed it besides")
+	f.StringVar(&o.Memory, "memory", "", "memory of the process, such as 184MiB; empty: that of the machine or of its control group")
+	f.IntVar(&o.Connections, "connections", 0, "most connections of callers; 0: as many as the descriptors of the process allow")
 	f.BoolVar(&o.LogJSON, "log-json", false, "write the log as JSON")
 	return cmd
 }
@@ -104,7 +109,14 @@
 		v.Add("--strength", strconv.FormatFloat(o.Strength, 'g', -1, 64), "a number above zero")
 	}
 	o.checkBounds(v)
+	if o.Connections < 0 {
+		v.Add("--connections", strconv.Itoa(o.Connections), "zero or more")
+	}
+	if o.Connections == 0 {
+		o.Connections = callerConnections(0)
+	}
 	r := &router.Router{
+		Memory: parseMemory(v, "--memory", o.Memory), Connections: o.Connections,
 		Host: pimento.HostName(o.Host), Domain: pimento.DomainName(o.Domain), Strength: o.Strength, Token: o.Token,
 		Peer: parseAddress(v, "--peer", o.Peer), Caller: parseAddress(v, "--caller", o.Caller),
 		Operator: parseAddress(v, "--operator", o.Operator), Bounds: o.Bounds, RequireKey: true,
@@ -156,5 +168,6 @@
 	if err != nil {
 		return err
 	}
+	limitRuntime(r.Memory)
 	return r.Run(ctx)
 }
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -83,6 +83,7 @@
 		rl := &reloader{Path: path, PollInterval: settingsPollInterval, Apply: r.SetBounds, Emit: r.LogEvent, settings: s}
 		go rl.run(ctx, hangups)
 	}
+	limitRuntime(r.Memory)
 	return r.Run(ctx)
 }
 
@@ -99,6 +100,10 @@
 		Host: s.Host, Domain: s.Domain, Peer: s.Peer, Strength: s.Strength, Caller: s.Caller,
 		Ready: s.Ready, ReadyPath: platform.ReadyPath, Operator: operator,
 		CallerWire: platform.Wire{}, UpstreamWire: platform.Wire{}, Bounds: s.Bounds, Log: log,
+		Memory: s.Memory, Connections: callerConnections(s.Descriptors),
+	}
+	if r.Memory == 0 {
+		r.Memory = systemMemory()
 	}
 	store := &platform.Store{Address: s.Store, HTTP: platform.NewHTTPClient(), OnResult: r.ObserveStoreCall, OnEra: r.ObserveStoreEra}
 	r.Store, r.Source = store, &platform.Registry{Store: store, OnInvalidEntry: r.ReportInvalidEntry}
--- a/request.go
+++ b/request.go
@@ -48,6 +48,7 @@
 	ReasonStopping       Reason = "Stopping"
 	ReasonAvoided        Reason = "Avoided"
 	ReasonStaleUpstreams Reason = "StaleUpstreams" // the upstreams known here are too old
+	ReasonNoMemory       Reason = "NoMemory"       // the memory for callers is used up
 	ReasonUnauthorized   Reason = "Unauthorized"   // no customer holds the API key
 	ReasonQuota          Reason = "Quota"          // the quota of the customer is used up
 	ReasonQuotaUnknown   Reason = "QuotaUnknown"   // this process has no part of that quota now
--- a/router/observer.go
+++ b/router/observer.go
@@ -180,6 +180,20 @@
 	o.events.LogOnly(eventNumber(out), append([]any{"Request", r.ID, "Method", r.Method, "Host", r.Host}, outcomeAttributes(out)...)...)
 }
 
+// callerEvicted logs and counts a connection that was closed because it took most of the memory
+// for callers.
+func (o *observer) callerEvicted(used int64) {
+	o.count("relay_callers_closed_total", "Reason", "Memory")
+	o.events.LogOnly(pimento.EventCallerClosed, "Reason", "Memory", "Bytes", used)
+}
+
+// connectionReplaced logs and counts a connection that was closed, or refused, since there were
+// too many.
+func (o *observer) connectionReplaced() {
+	o.count("relay_callers_closed_total", "Reason", "Connections")
+	o.events.LogOnly(pimento.EventCallerClosed, "Reason", "Connections")
+}
+
 // AnswerCut logs and counts an answer that did not reach its caller in full.
 func (o *observer) AnswerCut(r *pimento.Request, err error) {
 	o.count("relay_answers_cut_total")
--- a/router/router.go
+++ b/router/router.go
@@ -65,6 +65,11 @@
 	// RequireKey refuses requests without a key for keyed services.
 	RequireKey bool
 	Log        hclog.Logger
+	// Memory is that of the process in bytes, of which callers may take callersMemoryShare;
+	// zero: no bound.
+	Memory int64
+	// Connections is how many callers may be connected; zero: any number.
+	Connections int
 	// OnRegistered is called when the process is registered; it may be nil.
 	OnRegistered func(pimento.Process)
 
@@ -165,6 +170,7 @@
 			Currency: r.follower.confirmer,
 		},
 		Wire: r.CallerWire, Limits: r.follower.limits, IsCurrent: r.follower.confirmer.IsCurrent, OnRefused: r.observer.Refused, OnTruncated: r.observer.AnswerCut,
+		Budget: r.callersBudget(), MaxConnections: r.Connections, OnReplaced: r.observer.connectionReplaced,
 	}
 	r.registerGauges()
 }
