Take no bytes for an answer that are none

Cause, both seen on the code as it was: an upstream's status 000 (and 099, 600, 999, +12) was passed on as an answer; a part of an answer without a length passed for the whole when its connection was reset while the upload was still written, since the write took the error of the reset and the read saw only an end (first of 200 tries). Change: a status from 100 to 599, and not 101, else the connection broke, which the health of the upstream hears of; an answer without a length is whole only if the upstream has taken the body. First frames of peers have 16 KiB at most; the operators' and readiness ports bound heads and times. Callers whose requests cost most are slowed while messages between processes wait.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -79,6 +79,9 @@
 	// MaxConnections bounds the connections of callers. Another one takes the place of the
 	// one that is idle for longest. Zero: there is no bound.
 	MaxConnections int
+	// Delay returns how long the messages between processes have recently waited here; nil:
+	// they never do.
+	Delay func() time.Duration
 	// OnReplaced is called for each connection that is closed for another one, or refused;
 	// it may be nil.
 	OnReplaced func()
@@ -93,6 +96,8 @@
 	requests context.Context // ended by EndRequests
 	endAll   context.CancelCauseFunc
 
+	pacer pacer
+
 	mu       sync.Mutex
 	listener net.Listener
 	conns    map[*conn]bool
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -24,6 +24,7 @@
 	head       *headReader // under r
 	account    *meter.Account
 	headCost   int64 // charged for the head that is read
+	recent     costRate
 	w          *bufio.Writer
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -147,6 +148,7 @@
 		return false
 	}
 	x := c.newExchange(req, arrived, limits)
+	pause := c.pace()
 	if x.body != nil && x.body.sendContinue == nil && x.err == nil {
 		x.err = x.readPrefix()
 	}
@@ -154,14 +156,36 @@
 		x.body.startReadAhead()
 	}
 	c.startExchange(x)
-	if x.body == nil {
-		return !x.last
+	if x.body != nil {
+		x.body.pump()
+		if !x.body.discardRest() {
+			return false // the start of the next request is unknown
+		}
+	}
+	return !x.last && c.rest(pause)
+}
+
+// pace returns how long the connection has to wait after the request that was read.
+func (c *conn) pace() time.Duration {
+	if c.acceptor.Delay == nil {
+		return 0
 	}
-	x.body.pump()
-	if !x.body.discardRest() {
-		return false // the start of the next request is unknown
+	return c.acceptor.pacer.pause(time.Now(), &c.recent, c.headCost, c.acceptor.Connections(), c.acceptor.Delay())
+}
+
+// rest waits, and reports false if the connection ends before.
+func (c *conn) rest(d time.Duration) bool {
+	if d == 0 {
+		return true
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-c.ctx.Done():
+		return false
 	}
-	return !x.last
 }
 
 // readHead reads and parses the head of a request.
--- a/connector/client.go
+++ b/connector/client.go
@@ -243,9 +243,24 @@
 		return nil, errHeadTooLarge
 	}
 	cn.headLimit.N = noLimit
+	if err == nil && !isStatus(res.StatusCode) {
+		return nil, fmt.Errorf("%w: %q", errStatus, res.Status)
+	}
 	return res, err
 }
 
+// isStatus reports whether a number is the status of an answer. A connection never changes
+// its protocol here.
+func isStatus(code int) bool {
+	return code >= http.StatusContinue && code <= maxStatus && code != http.StatusSwitchingProtocols
+}
+
+// maxStatus is the highest status (RFC 9110, section 15).
+const maxStatus = 599
+
+// errStatus is the cause if what came looks like an answer but has no valid status.
+var errStatus = errors.New("not a status")
+
 // errHeadTooLarge is the cause if the head of an answer exceeds maxHeadBytes.
 var errHeadTooLarge = errors.New("the head of the answer is too large")
 
@@ -327,6 +342,7 @@
 	writtenAt  time.Time // when it was about to be written, by timekeeper
 	stop       func() bool
 	bodyResult chan error // result of sending a body in the background; nil: not used
+	untilEnd   bool       // the answer has no length: it ends with its connection
 	done       bool
 }
 
@@ -508,7 +524,8 @@
 	if metadata.IdleTimeout > 0 {
 		e.conn.idleTimeout = time.Duration(float64(metadata.IdleTimeout) * idleTimeoutFraction)
 	}
-	if res.Close || res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
+	e.untilEnd = res.ContentLength < 0 && len(res.TransferEncoding) == 0
+	if res.Close || e.untilEnd {
 		e.conn.idleTimeout = 0
 	}
 }
@@ -541,6 +558,33 @@
 	}
 }
 
+// checkEnd returns io.EOF if the end of the connection is that of the answer. If the body of the
+// request is still being written, the connection may have been reset, which only that write
+// is told; so an answer without a length is whole only if the upstream has taken the body.
+func (e *exchange) checkEnd() error {
+	if !e.untilEnd || e.bodyResult == nil {
+		return io.EOF
+	}
+	timer := time.NewTimer(bodyEndTimeout)
+	defer timer.Stop()
+	select {
+	case err := <-e.bodyResult:
+		if err == nil {
+			return io.EOF
+		}
+		return fmt.Errorf("the connection ended while the body was sent: %w", err)
+	case <-timer.C:
+		return errBodyUnsent
+	}
+}
+
+// bodyEndTimeout is how long the body of a request may still take after the connection has
+// ended: its next write fails, but its caller may send it slowly.
+const bodyEndTimeout = 250 * time.Millisecond
+
+// errBodyUnsent is the cause if the connection ended before the body was sent.
+var errBodyUnsent = errors.New("the connection ended before the body was sent")
+
 // answerBody is the body of an answer. At its end the connection returns to the
 // pool.
 type answerBody struct {
@@ -551,6 +595,9 @@
 // Read implements io.Reader.
 func (b *answerBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		err = b.exchange.checkEnd()
+	}
 	if err == io.EOF {
 		b.exchange.finish(true)
 	} else if err != nil {
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -75,14 +75,21 @@
 	return append(frame, payload...), nil
 }
 
+// maxHello is the largest size of the first frame of a connection in bytes. Whoever connects
+// may send one, so that it must not cost much.
+const maxHello = 16 << 10
+
 // readFrame reads one message.
-func readFrame(r io.Reader) (*Message, error) {
+func readFrame(r io.Reader) (*Message, error) { return readFrameUpTo(r, maxFrame) }
+
+// readFrameUpTo reads one message of a size.
+func readFrameUpTo(r io.Reader, most uint32) (*Message, error) {
 	var size [4]byte
 	if _, err := io.ReadFull(r, size[:]); err != nil {
 		return nil, err
 	}
 	n := binary.BigEndian.Uint32(size[:])
-	if n > maxFrame {
+	if n > most {
 		return nil, fmt.Errorf("%w: %d bytes", errFrame, n)
 	}
 	payload := make([]byte, n)
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -118,7 +118,7 @@
 		return
 	}
 	r := bufio.NewReaderSize(conn, bufferSize)
-	first, err := readFrame(r)
+	first, err := readFrameUpTo(r, maxHello)
 	if err != nil || first.Hello == nil || first.Hello.To != m.Self.ID || first.Hello.Token != m.Self.Token {
 		return
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -170,7 +170,7 @@
 			Currency: r.follower.confirmer,
 		},
 		Wire: r.CallerWire, Limits: r.follower.limits, IsCurrent: r.follower.confirmer.IsCurrent, OnRefused: r.observer.Refused, OnTruncated: r.observer.AnswerCut,
-		Budget: r.callersBudget(), MaxConnections: r.Connections, OnReplaced: r.observer.connectionReplaced,
+		Budget: r.callersBudget(), MaxConnections: r.Connections, OnReplaced: r.observer.connectionReplaced, Delay: r.leader.Delay,
 	}
 	r.registerGauges()
 }
--- a/router/serve.go
+++ b/router/serve.go
@@ -20,6 +20,12 @@
 	maxRegisterRetry = 2 * time.Second
 	// headerTimeout bounds reading the header of a readiness or operator request.
 	headerTimeout = 2 * time.Second
+	// operatorWriteTimeout and operatorIdleTimeout bound the answer to such a request, and the
+	// time until the next one on its connection.
+	operatorWriteTimeout = 20 * time.Second
+	operatorIdleTimeout  = 2 * time.Minute
+	// maxOperatorHeader is the largest header of such a request in bytes.
+	maxOperatorHeader = 8 << 10
 	// drainDelay is the longest time that a process still accepts callers after
 	// it has stopped being ready, so that the platform notices first.
 	drainDelay = 2200 * time.Millisecond
@@ -120,7 +126,10 @@
 }
 
 func serveHTTP(ctx context.Context, l net.Listener, h http.Handler) error {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, WriteTimeout: operatorWriteTimeout,
+		IdleTimeout: operatorIdleTimeout, MaxHeaderBytes: maxOperatorHeader,
+	}
 	stop := context.AfterFunc(ctx, func() { server.Close() })
 	defer stop()
 	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
