Share quotas out without a pass over all processes for each

Cause: each heartbeat walked all processes of each customer, which grows with the square of the dispatchers. Change: what processes hold is kept as a sum, and what needs a pass is done ten times a second at most.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -114,6 +114,9 @@
 	quotas      map[pimento.CustomerName]*quota
 	dispatchers []pimento.ProcessID // sorted
 	heard       map[pimento.ProcessID]time.Time
+	parts       map[pimento.ProcessID]map[pimento.CustomerName]*part
+	heardShare  float64 // see updateHeardShare
+	tickedAt    time.Time
 	changes     []Change
 }
 
@@ -122,14 +125,15 @@
 	rate      float64 // credits a second
 	most      float64 // credits that there may be at once, here and at the processes
 	credits   float64 // here
+	held      float64 // that processes may have
 	at        time.Time
 	demand    rate
-	parts     map[pimento.ProcessID]*part
 	exhausted bool
 }
 
 // part is what one process has of a quota.
 type part struct {
+	quota      *quota
 	granted    uint64 // in all
 	seen       uint64 // of these, as last reported
 	credits    int    // as last reported
@@ -143,19 +147,13 @@
 // held returns how many credits the process may have.
 func (p *part) held() float64 { return float64(p.credits) + float64(p.granted-p.seen) }
 
-// held returns how many credits the processes may have.
-func (q *quota) held() float64 {
-	n := 0.0
-	for _, p := range q.parts {
-		n += p.held()
-	}
-	return n
-}
-
 // New returns an allocator of a term that begins now. Its buckets are empty, since the
 // processes may have any credits of the one before.
 func New(now time.Time) *Allocator {
-	return &Allocator{beganAt: now, quotas: make(map[pimento.CustomerName]*quota), heard: make(map[pimento.ProcessID]time.Time)}
+	return &Allocator{
+		beganAt: now, quotas: make(map[pimento.CustomerName]*quota), heard: make(map[pimento.ProcessID]time.Time),
+		parts: make(map[pimento.ProcessID]map[pimento.CustomerName]*part),
+	}
 }
 
 // SetQuotas replaces the customers.
@@ -169,13 +167,16 @@
 		limited[c.Name] = true
 		q, ok := a.quotas[c.Name]
 		if !ok {
-			q = &quota{at: now, parts: make(map[pimento.ProcessID]*part)}
+			q = &quota{at: now}
 			a.quotas[c.Name] = q
 		}
 		a.refill(now, q)
 		q.rate, q.most = c.Rate, t.most(c)
 	}
 	maps.DeleteFunc(a.quotas, func(name pimento.CustomerName, _ *quota) bool { return !limited[name] })
+	for _, parts := range a.parts {
+		maps.DeleteFunc(parts, func(name pimento.CustomerName, _ *part) bool { return !limited[name] })
+	}
 }
 
 // most returns how many credits there may be at once: the burst and half of what is
@@ -200,6 +201,7 @@
 	a.dispatchers = slices.Clone(ids)
 	slices.Sort(a.dispatchers)
 	a.dispatchers = slices.Compact(a.dispatchers)
+	a.tickedAt = time.Time{}
 }
 
 // Dispatchers returns how many there are.
@@ -208,32 +210,50 @@
 // Forget drops a process that has ended, with its credits.
 func (a *Allocator) Forget(id pimento.ProcessID) {
 	delete(a.heard, id)
-	for _, q := range a.quotas {
-		delete(q.parts, id)
+	for _, p := range a.parts[id] {
+		p.quota.held -= p.held()
 	}
+	delete(a.parts, id)
 }
 
 // refill adds the credits of the time since the last call.
 func (a *Allocator) refill(now time.Time, q *quota) {
-	elapsed := now.Sub(q.at).Seconds()
-	if elapsed <= 0 {
+	a.tick(now)
+	if elapsed := now.Sub(q.at).Seconds(); elapsed > 0 {
+		q.at = now
+		q.credits = min(q.credits+q.rate*a.heardShare*elapsed, max(0, q.most-q.held))
+	}
+}
+
+// tickInterval is the time between two calculations over all processes and customers.
+const tickInterval = 100 * time.Millisecond
+
+// tick drops the parts that processes have dropped as well, and notes which quotas are
+// exhausted.
+func (a *Allocator) tick(now time.Time) {
+	if now.Sub(a.tickedAt) < tickInterval {
 		return
 	}
-	q.at = now
-	held := 0.0
-	for id, p := range q.parts {
-		if now.Sub(a.heard[id]) > autonomyTime || now.Sub(p.reportedAt) > autonomyTime {
-			delete(q.parts, id) // the process has dropped its credits as well
-			continue
-		}
-		held += p.held()
+	a.tickedAt = now
+	a.updateHeardShare(now)
+	for id, parts := range a.parts {
+		silent := now.Sub(a.heard[id]) > autonomyTime
+		maps.DeleteFunc(parts, func(_ pimento.CustomerName, p *part) bool {
+			if !silent && now.Sub(p.reportedAt) <= autonomyTime {
+				return false
+			}
+			p.quota.held -= p.held()
+			return true
+		})
+	}
+	for name, q := range a.quotas {
+		a.noteExhaustion(now, name, q)
 	}
-	q.credits = min(q.credits+q.rate*a.heardShare(now)*elapsed, max(0, q.most-held))
 }
 
-// heardShare returns the share of a quota that is left if each dispatcher that may go on
-// without this leader admits as much as it can.
-func (a *Allocator) heardShare(now time.Time) float64 {
+// updateHeardShare calculates the share of a quota that is left if each dispatcher that may go
+// on without this leader admits as much as it can.
+func (a *Allocator) updateHeardShare(now time.Time) {
 	silent := 0
 	for _, id := range a.dispatchers {
 		since, ok := a.heard[id]
@@ -244,7 +264,7 @@
 			silent++
 		}
 	}
-	return max(0, 1-maxAutonomy*float64(silent)/float64(max(1, len(a.dispatchers))))
+	a.heardShare = max(0, 1-maxAutonomy*float64(silent)/float64(max(1, len(a.dispatchers))))
 }
 
 // autonomousRate returns the requests a second that a dispatcher admits without a leader,
@@ -257,19 +277,26 @@
 // Report records what a process reports. Its totals must be of grants of this term.
 func (a *Allocator) Report(now time.Time, from pimento.ProcessID, uses []Use) {
 	a.heard[from] = now
+	parts := a.parts[from]
+	if parts == nil {
+		parts = make(map[pimento.CustomerName]*part)
+		a.parts[from] = parts
+	}
 	for _, u := range uses {
 		q, ok := a.quotas[u.Customer]
 		if !ok {
 			continue
 		}
 		a.refill(now, q)
-		p, ok := q.parts[from]
+		p, ok := parts[u.Customer]
 		if !ok {
-			p = &part{granted: u.Granted} // it was dropped here
-			q.parts[from] = p
+			p = &part{quota: q, granted: u.Granted, seen: u.Granted} // it was dropped here
+			parts[u.Customer] = p
 		}
 		p.asked = u.Asked
+		q.held -= p.held()
 		p.credits, p.seen, p.reportedAt = u.Credits, min(u.Granted, p.granted), now
+		q.held += p.held()
 		q.credits += float64(u.Returned)
 		p.demand.add(now, u.Asked)
 		q.demand.add(now, u.Asked)
@@ -279,14 +306,12 @@
 // Grants returns what a process gets now that it has not seen yet.
 func (a *Allocator) Grants(now time.Time, to pimento.ProcessID) []Grant {
 	var out []Grant
-	for name, q := range a.quotas {
+	for name, p := range a.parts[to] {
+		q := p.quota
 		a.refill(now, q)
-		a.noteExhaustion(now, name, q)
-		p, ok := q.parts[to]
-		if !ok {
-			continue
-		}
-		p.granted += uint64(q.grant(now, p, len(a.dispatchers)))
+		n := q.grant(now, p, len(a.dispatchers))
+		p.granted += uint64(n)
+		q.held += float64(n)
 		g := Grant{Customer: name, Granted: p.granted, Exhausted: q.exhausted}
 		if q.exhausted {
 			g.Rate = float32(q.rate * q.shareOf(now, p))
@@ -331,7 +356,7 @@
 // noteExhaustion records whether a customer asks for more than its quota.
 func (a *Allocator) noteExhaustion(now time.Time, name pimento.CustomerName, q *quota) {
 	demand := q.demand.value(now)
-	exhausted := demand > q.rate*exhaustedMargin && (q.exhausted || q.credits+q.held() < max(1, exhaustedShare*q.most))
+	exhausted := demand > q.rate*exhaustedMargin && (q.exhausted || q.credits+q.held < max(1, exhaustedShare*q.most))
 	if exhausted == q.exhausted {
 		return
 	}
@@ -342,8 +367,8 @@
 // IsShort reports whether a process has no credit for a customer that it is asked for, while
 // there are some here.
 func (a *Allocator) IsShort(id pimento.ProcessID) bool {
-	for _, q := range a.quotas {
-		if p, ok := q.parts[id]; ok && p.asked > 0 && p.held() == 0 && q.credits >= 1 {
+	for _, p := range a.parts[id] {
+		if p.asked > 0 && p.held() == 0 && p.quota.credits >= 1 {
 			return true
 		}
 	}
