Bound the heartbeats that bring credits

Cause: a member that lacks a credit for any customer got its next heartbeat at once, so that a dispatcher of many customers got one in each step of the leader. Change: 0.1 s between such heartbeats; unused credits come back after 2 s in place of 3.

--- a/allocator/account.go
+++ b/allocator/account.go
@@ -11,7 +11,7 @@
 
 const (
 	// idleAfter is how long credits are kept that nobody asks for.
-	idleAfter = 3 * time.Second
+	idleAfter = 2 * time.Second
 	// autonomyBurst is how much of its rate a process without a leader may admit at once.
 	autonomyBurst = 500 * time.Millisecond
 	// maxBooked bounds the callers that are given different times to come back.
--- a/leader/heartbeat.go
+++ b/leader/heartbeat.go
@@ -19,6 +19,9 @@
 	// silentAfter is how long a member may go without a reply before it counts as
 	// silent and gets no pools to dispatch.
 	silentAfter = 600 * time.Millisecond
+	// shortHeartbeatInterval is the time between heartbeats to a member that lacks credits which
+	// are there.
+	shortHeartbeatInterval = 100 * time.Millisecond
 	// silentHeartbeatInterval is the time between heartbeats to a silent member.
 	silentHeartbeatInterval = 500 * time.Millisecond
 )
@@ -141,7 +144,7 @@
 		l.term.applyNotices(now, m.process.ID, r.Report)
 		l.applyUses(now, m.process.ID, r.Report)
 		if l.term.credits != nil && l.term.credits.IsShort(m.process.ID) {
-			m.heartbeatAt = now
+			m.heartbeatAt = earlier(m.heartbeatAt, sentAt.Add(shortHeartbeatInterval))
 		}
 	}
 }
