Hide in faults of a sheet what may be an API key

Cause: a fault shows the text of its cell. A key in a row of another kind, a list of keys with commas but without quotes (the second key is then read as the rate), a key beyond the last column: each showed the key in the error text.

Change: in the column of keys and in every column but the name of a customer's row, a fault shows the row and the column, not the value.

--- a/parser/customer.go
+++ b/parser/customer.go
@@ -12,6 +12,15 @@
 // accessPublic is the Access of a category whose callers need no API key.
 const accessPublic = "Public"
 
+// hidden is shown in a fault instead of what may be an API key.
+const hidden = "(not shown)"
+
+// mayBeKey reports whether a cell may hold an API key. Keys that are separated by commas
+// without quotes end up in the columns after their own, or beyond the last.
+func (r *row) mayBeKey(column string) bool {
+	return column == columnKeys || Kind(r.cell(columnKind)) == KindCustomer
+}
+
 // customer reads a row that describes a customer.
 func (r *row) customer() pimento.Customer {
 	c := pimento.Customer{
--- a/parser/sheet.go
+++ b/parser/sheet.go
@@ -218,7 +218,11 @@
 }
 
 func (r *row) addFault(column, allowed string) {
-	r.sheet.faults.AddAt(r.number, r.sheet.columnIndex[column]+1, column, r.cell(column), allowed)
+	value := r.cell(column)
+	if column != columnName && r.mayBeKey(column) {
+		value = hidden
+	}
+	r.sheet.faults.AddAt(r.number, r.sheet.columnIndex[column]+1, column, value, allowed)
 }
 
 func (s *sheet) readRow(r *row) {
@@ -234,7 +238,11 @@
 		}
 	}
 	if len(r.fields) > len(s.columnIndex) {
-		s.faults.AddAt(r.number, len(s.columnIndex)+1, "row", r.fields[len(s.columnIndex)], "no cell beyond the columns")
+		value := r.fields[len(s.columnIndex)]
+		if r.mayBeKey("") {
+			value = hidden
+		}
+		s.faults.AddAt(r.number, len(s.columnIndex)+1, "row", value, "no cell beyond the columns")
 	}
 	s.defineName(r, kind)
 	switch kind {
--- a/parser/sheet_test.go
+++ b/parser/sheet_test.go
@@ -103,3 +103,24 @@
 		}
 	})
 }
+
+// TestFaultsHideKeys guards against an API key in the text of a fault, wherever a mistake has
+// put it.
+func TestFaultsHideKeys(t *testing.T) {
+	const header = "Kind,Name,Service,Domain,Host,Address,Sharing,Fencing,Slots,Connections,State,Keys,Rate,Burst,Priority\n"
+	cases := []struct{ name, row string }{
+		{"row of another kind", "Domain,d1,,,,,,,,,In,sk-1,,,\n"},
+		{"commas without quotes", "Customer,a,,,,,,,,,,k1,sk-1,,\n"},
+		{"cell beyond the columns", "Customer,a,,,,,,,,,,k1,1,1,1,sk-1\n"},
+		{"column of another kind", "Customer,a,sk-1,,,,,,,,,,1,1,1\n"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := Parse(strings.NewReader(header + c.row))
+			is.True(err != nil)
+			is.True(!strings.Contains(err.Error(), "sk-1"))
+			is.True(strings.Contains(err.Error(), hidden))
+		})
+	}
+}
