Wait in a test until the process has noticed that a connection is idle

A caller has its answer before the process has ended the request. A connection that is opened in between finds none that is idle and is closed, as one is when all are busy.

Change: the test waits until the process counts a connection as idle, which is what it is about. Every check stays.

--- a/acceptor/head_test.go
+++ b/acceptor/head_test.go
@@ -91,6 +91,9 @@
 	io.WriteString(idle, getRequest("/x"))
 	_, _, err := readAnswer(t, bufio.NewReader(idle), "GET")
 	is.NoErr(err)
+	for !hasIdle(a) { // the process ends the request after the caller has the answer
+		time.Sleep(time.Millisecond)
+	}
 	third := dial()
 	io.WriteString(third, getRequest("/y"))
 	_, body, err := readAnswer(t, bufio.NewReader(third), "GET")
@@ -104,6 +107,17 @@
 	is.Equal(a.Connections(), 2)
 }
 
+func hasIdle(a *Acceptor) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for c := range a.conns {
+		if _, ok := c.idle(); ok {
+			return true
+		}
+	}
+	return false
+}
+
 // TestKeysAreNotInFaults guards against API keys in the refusal of a head that cannot be parsed.
 func TestKeysAreNotInFaults(t *testing.T) {
 	is := is.New(t)
