Trust the manifest of a store that was never restored

Cause: a process that has just started refused all requests with API keys for up to 1.5 s, since the store could show an older manifest than a leader knows. That can only be so where the store was restored from a copy, which it tells by its era.

Change: a store that names the first era, or none, decides alone which API keys are in force. After a restore a new process waits for its leader, as before.

--- a/router/keys_test.go
+++ b/router/keys_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	"pimentorelay.example/pimento/leader"
+	"pimentorelay.example/pimento/messenger"
 	"pimentorelay.example/pimento/timekeeper"
 )
 
@@ -47,3 +49,38 @@
 	bound = 0
 	is.True(c.MayUseKeys(time.Now()))
 }
+
+// TestStoreThatWasNeverRestoredIsTrusted guards against processes that all start at once and
+// refuse their customers until one of them leads, although the store has lost nothing. One that
+// was restored from a copy may have an older manifest, so a new process waits for its leader.
+func TestStoreThatWasNeverRestoredIsTrusted(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		era    uint64 // of the store, zero: it names none
+		leader bool   // announces a version
+		wait   time.Duration
+		want   bool
+	}{
+		{"no eras", 0, false, 0, true},
+		{"never restored", 1, false, 0, true},
+		{"restored", 2, false, 0, false},
+		{"restored, with a leader", 2, true, 0, true},
+		{"restored, no leader for long", 2, false, firstLeaderWait, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRouter()
+				defer r.follower.confirmer.close()
+				r.self.Started = time.Now()
+				r.storeEra.Store(c.era)
+				if c.leader {
+					r.follower.Announced(messenger.Versions{Manifest: 1})
+				}
+				time.Sleep(c.wait)
+				if got := r.follower.mayTrustStore(); got != c.want {
+					t.Errorf("trusts the store: %t, want %t", got, c.want)
+				}
+			})
+		})
+	}
+}
--- a/router/manifest.go
+++ b/router/manifest.go
@@ -120,11 +120,15 @@
 	return !r.leader.IsLeader() && !f.ManifestReadAt().IsZero() && !f.lacksAnnounced() && time.Since(r.self.Started) < firstLeaderWait
 }
 
+// firstEra is the era of a store that was never restored from a copy. One that names no era
+// is never restored.
+const firstEra = 1
+
 // mayTrustStore reports whether the manifest in the store may decide alone which API keys
 // are in force. A store that was restored from a copy may show one that operators have
 // replaced, so a process that has just started waits for its leader to announce a version.
 func (f *follower) mayTrustStore() bool {
-	return f.announcedVersion() > 0 || f.router.leader.IsLeader() || time.Since(f.router.self.Started) >= firstLeaderWait
+	return f.router.storeEra.Load() <= firstEra || f.announcedVersion() > 0 || f.router.leader.IsLeader() || time.Since(f.router.self.Started) >= firstLeaderWait
 }
 
 // lacksAnnounced reports whether the leader has announced a newer manifest than the
