Give credits in stock to dispatchers only

Cause: where all processes start at once, each issues its own permits for a moment. Each got credits of the quotas for a second of that demand, at least its share of half of all; they lay there until two seconds later, while the dispatchers had none.

Change: a process that is no dispatcher gets credits for 0.3 s of what it is asked for.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -39,6 +39,9 @@
 	// stockTime is how much of its demand a process has credits for, so that it need not
 	// wait for the next grant.
 	stockTime = time.Second
+	// passingTime is the same for a process that is no dispatcher, to which requests go for a
+	// moment only.
+	passingTime = 300 * time.Millisecond
 	// stockShare is the share of all credits that the dispatchers may have in stock together
 	// whatever their demand.
 	stockShare = 0.5
@@ -306,10 +309,11 @@
 // Grants returns what a process gets now that it has not seen yet.
 func (a *Allocator) Grants(now time.Time, to pimento.ProcessID) []Grant {
 	var out []Grant
+	_, dispatches := slices.BinarySearch(a.dispatchers, to)
 	for name, p := range a.parts[to] {
 		q := p.quota
 		a.refill(now, q)
-		n := q.grant(now, p, len(a.dispatchers))
+		n := q.grant(now, p, a.stock(now, p, dispatches))
 		p.granted += uint64(n)
 		q.held += float64(n)
 		g := Grant{Customer: name, Granted: p.granted, Exhausted: q.exhausted}
@@ -330,14 +334,26 @@
 	return min(1, p.demand.value(now)/max(q.demand.value(now), minDemand))
 }
 
-// grant returns how many credits a process gets, and takes them from the bucket. Whole
-// credits only: fractions at many processes would be of use to none.
-func (q *quota) grant(now time.Time, p *part, dispatchers int) int {
-	demand, all := p.demand.value(now), q.demand.value(now)
-	if demand < minDemand {
+// stock returns how many credits a process should have. Those of one that is no dispatcher
+// would soon lie idle.
+func (a *Allocator) stock(now time.Time, p *part, dispatches bool) float64 {
+	demand := p.demand.value(now)
+	switch {
+	case demand < minDemand:
 		return 0
+	case !dispatches:
+		return math.Ceil(demand * passingTime.Seconds())
 	}
-	stock := math.Ceil(max(demand*stockTime.Seconds(), stockShare*q.most/float64(max(1, dispatchers))))
+	return math.Ceil(max(demand*stockTime.Seconds(), stockShare*p.quota.most/float64(len(a.dispatchers))))
+}
+
+// grant returns how many credits a process gets that should have a stock, and takes them from
+// the bucket. Whole credits only: fractions at many processes would be of use to none.
+func (q *quota) grant(now time.Time, p *part, stock float64) int {
+	if stock == 0 {
+		return 0
+	}
+	all := q.demand.value(now)
 	held := p.held()
 	if held > 0 && held >= refillShare*stock {
 		return 0
--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -39,6 +39,8 @@
 	epoch     uint64
 	leader    *Allocator // nil: there is none
 	processes []*process
+	first     int     // so many of the processes are dispatchers, zero: all
+	idle      bool    // no upstream is reached, so that credits are returned to the account
 	loss      float64 // of messages
 	admitted  []time.Time
 	asked     int
@@ -66,8 +68,10 @@
 func (d *deployment) configure() {
 	d.leader.SetQuotas(d.now, []pimento.Customer{d.customer}, tolerance)
 	var ids []pimento.ProcessID
-	for _, p := range d.processes {
-		ids = append(ids, p.id)
+	for i, p := range d.processes {
+		if d.first == 0 || i < d.first {
+			ids = append(ids, p.id)
+		}
 	}
 	d.leader.SetDispatchers(ids)
 }
@@ -117,6 +121,10 @@
 	d.asked++
 	switch p.account.Ask(d.now, &d.customer) {
 	case Admitted:
+		if d.idle {
+			p.account.Refund(&d.customer)
+			return
+		}
 		d.admitted = append(d.admitted, d.now)
 	case Waiting:
 		p.waiting = append(p.waiting, d.now)
@@ -127,6 +135,11 @@
 
 func (d *deployment) retry(p *process) {
 	for len(p.waiting) > 0 && p.account.Retry(d.now, &d.customer) == Admitted {
+		if d.idle {
+			p.account.Refund(&d.customer)
+			p.waiting = p.waiting[1:]
+			continue
+		}
 		d.admitted = append(d.admitted, d.now)
 		p.waiting = p.waiting[1:]
 	}
@@ -291,6 +304,45 @@
 	}
 }
 
+// TestCreditsReachTheDispatchers replays the start of all processes at once: for a moment each
+// issues its own permits and reaches no upstream, then all requests go to the dispatchers.
+// Credits must not lie where nobody asks for them any more.
+func TestCreditsReachTheDispatchers(t *testing.T) {
+	const processes, dispatchers = 74, 13
+	for _, c := range []struct {
+		rate float64 // of the quota
+		load float64 // as a part of it, after the start
+	}{
+		{50, 0.5}, {50, 0.8}, {300, 0.5}, {300, 0.8},
+	} {
+		t.Run(fmt.Sprintf("%g of %g", c.load, c.rate), func(t *testing.T) {
+			is := is.New(t)
+			asked, refused := 0, 0
+			for seed := range uint64(10) {
+				d := newDeployment(seed, processes, pimento.Customer{Name: "c", Rate: c.rate, Burst: c.rate})
+				d.first = dispatchers
+				d.elect()
+				d.idle = true
+				d.run(time.Second, c.rate) // callers come back
+				d.idle = false
+				for i, p := range d.processes {
+					p.share, p.waiting = 0, nil // only requests after that moment count
+					if i < dispatchers {
+						p.share = 1.0 / dispatchers
+					}
+				}
+				d.asked, d.refused = 0, 0
+				d.run(3*time.Second, c.load*c.rate)
+				asked, refused = asked+d.asked, refused+d.refused
+				most, allowed := d.worst()
+				is.True(float64(most) <= allowed)
+			}
+			t.Logf("%d of %d refused", refused, asked)
+			is.True(float64(refused) <= 0.05*float64(asked)) // as after other losses
+		})
+	}
+}
+
 // TestLowerQuotaBinds checks that a lowered quota is in force once the leader knows it.
 func TestLowerQuotaBinds(t *testing.T) {
 	is := is.New(t)
