Trust no copy of the manifest that the leader knows to be old

Cause: a new process at a store that was restored from a copy waited for its leader to announce any version of the manifest, and then used the API keys of the copy until the announced one had come; after 1.5 s it used them whatever the leader said.

Change: such a process uses keys once a leader has known no newer manifest than the one in force, or, without a leader, 1.5 s after its start. Two tests that were missing: TestRevokedKeyInARestoredStore, and TestQueuedRequestsOfACutProcess, in which a process without store and others has more requests than its upstreams can run.

--- a/assembler/customers_test.go
+++ b/assembler/customers_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -16,6 +18,7 @@
 	"pimentorelay.example/pimento/assembler"
 	"pimentorelay.example/pimento/sender"
 	"pimentorelay.example/pimento/storefaker"
+	"pimentorelay.example/pimento/surveyor"
 	"pimentorelay.example/pimento/upstreamfaker"
 )
 
@@ -29,12 +32,7 @@
 func startWithCustomers(t *testing.T) *assembler.Deployment {
 	t.Helper()
 	d := &assembler.Deployment{Config: smallConfig(t), Entries: 5, Work: time.Millisecond, Warm: true, Bounds: pimento.DefaultBounds()}
-	d.Bounds.Revocation, d.Bounds.QuotaOvershoot, d.Bounds.QuotaSlack = 3*time.Second, 0.1, 20
-	d.Config.Customers = []pimento.Customer{
-		{Name: "shop", Keys: []pimento.APIKey{"shop-1", "shop-2"}},
-		{Name: "club", Keys: []pimento.APIKey{"club-1"}, Rate: 20, Burst: 20},
-	}
-	d.Config.Categories = append(d.Config.Categories, pimento.Category{Name: "open", Service: "partsdesk", Public: true})
+	configureCustomers(d)
 	if err := d.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -43,6 +41,16 @@
 	return d
 }
 
+// configureCustomers adds the customers and the category to a deployment before its start.
+func configureCustomers(d *assembler.Deployment) {
+	d.Bounds.Revocation, d.Bounds.QuotaOvershoot, d.Bounds.QuotaSlack = 3*time.Second, 0.1, 20
+	d.Config.Customers = []pimento.Customer{
+		{Name: "shop", Keys: []pimento.APIKey{"shop-1", "shop-2"}},
+		{Name: "club", Keys: []pimento.APIKey{"club-1"}, Rate: 20, Burst: 20},
+	}
+	d.Config.Categories = append(d.Config.Categories, pimento.Category{Name: "open", Service: "partsdesk", Public: true})
+}
+
 // send sends a read with an API key once, and returns its status and reason.
 func send(t *testing.T, url string, key pimento.APIKey, id string) (int, pimento.Reason) {
 	t.Helper()
@@ -134,6 +142,110 @@
 	}
 }
 
+// TestRevokedKeyInARestoredStore checks that a key that was taken away stays so if the store
+// comes back from a copy in which it is in force, at running processes and at a new one.
+func TestRevokedKeyInARestoredStore(t *testing.T) {
+	const copyMargin = 200 * time.Millisecond
+	is := is.New(t)
+	d := startWithCustomers(t)
+	time.Sleep(2 * copyMargin) // the copy is of between the two versions
+	revokedAt := time.Now()
+	d.Config.Customers[0].Keys = []pimento.APIKey{"shop-2"}
+	version, err := d.Apply(t.Context(), d.Config)
+	is.NoErr(err)
+	is.NoErr(d.AwaitReady(version, readyTimeout))
+
+	d.Store.Restore(storefaker.Copy{Age: pimento.Span(time.Since(revokedAt) + copyMargin)})
+	object, ok := d.Store.Object(string(surveyor.KindConfig), surveyor.ConfigName)
+	is.True(ok)
+	is.True(strings.Contains(string(object.Spec), "shop-1")) // the copy is as old as it should be
+	_, err = d.StartEntry("d0")
+	is.NoErr(err)
+	served := make(map[int]int) // requests with the other key, by process
+	for start := time.Now(); time.Since(start) < d.Bounds.Revocation; time.Sleep(50 * time.Millisecond) {
+		for i := range 6 {
+			status, _ := send(t, d.URL(i)+customerPath, "shop-1", "")
+			if status != http.StatusUnauthorized && status != http.StatusServiceUnavailable {
+				t.Fatalf("process %d answers %d to a key that was taken away, %s after the store was restored", i, status, time.Since(start))
+			}
+			if status, _ = send(t, d.URL(i)+customerPath, "shop-2", ""); status == http.StatusOK {
+				served[i]++
+			}
+		}
+	}
+	t.Logf("served with the key in force: %v", served)
+	is.Equal(len(served), 6)
+}
+
+// TestQueuedRequestsOfACutProcess checks a process that loses the store and all others while
+// more requests come than its upstreams can run: none that is sent once its keys may have been
+// taken away runs, whatever waits before it.
+func TestQueuedRequestsOfACutProcess(t *testing.T) {
+	is := is.New(t)
+	d := &assembler.Deployment{Config: smallConfig(t), Entries: 5, Work: 800 * time.Millisecond, Warm: true, Bounds: pimento.DefaultBounds()}
+	configureCustomers(d)
+	is.NoErr(d.Start())
+	t.Cleanup(d.Stop)
+	applyConfig(t, d)
+	last := leadingEntry(d)
+	is.True(last >= 0)
+	cutAt := time.Now()
+	d.Store.Inject(storefaker.Faults{Outage: storefaker.OutageSilent})
+	for i := range 5 {
+		if i != last {
+			d.Entry(i).Kill()
+		}
+	}
+	var mu sync.Mutex
+	sentAt := make(map[string]time.Time)
+	statuses := make(map[int]int)
+	var requests sync.WaitGroup
+	for n := 0; time.Since(cutAt) < 2*d.Bounds.Revocation; n++ {
+		requests.Go(func() {
+			id, at := fmt.Sprint("read-", n), time.Now()
+			status := readOnce(t, d.URL(last)+customerPath, "shop-1", id, d.Bounds.Revocation)
+			mu.Lock()
+			defer mu.Unlock()
+			sentAt[id] = at
+			statuses[status]++
+		})
+		time.Sleep(20 * time.Millisecond)
+	}
+	requests.Wait()
+	runs, late := 0, time.Duration(0)
+	for _, r := range journal(d, "partsdesk") {
+		at, ok := sentAt[r.ID]
+		is.True(ok)
+		is.True(at.Sub(cutAt) < d.Bounds.Revocation)
+		late = max(late, r.Started.Sub(cutAt))
+		runs++
+	}
+	t.Logf("%d requests, %d runs, the last %s after the cut; %v", len(sentAt), runs, late, statuses)
+	is.True(statuses[http.StatusOK] > 0)
+	is.True(statuses[http.StatusServiceUnavailable] > 0)
+}
+
+// readOnce sends a read that is not sent again, and returns the status of the answer, zero if
+// there is none.
+func readOnce(t *testing.T, url string, key pimento.APIKey, id string, timeout time.Duration) int {
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
+	if err != nil {
+		return 0
+	}
+	req.Header.Set(pimento.HeaderAuthorization, "Bearer "+string(key))
+	req.Header.Set(pimento.HeaderIdempotencyKey, id)
+	req.Header.Set(pimento.HeaderTimeout, timeout.String())
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer res.Body.Close()
+	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		return 0
+	}
+	return res.StatusCode
+}
+
 // flood sends reads of a customer through all entries, in each pause one, until ctx ends.
 func flood(ctx context.Context, d *assembler.Deployment, entries []int, key pimento.APIKey, pause time.Duration) *floodResult {
 	f := &floodResult{statuses: make(map[int]int)}
--- a/router/follower.go
+++ b/router/follower.go
@@ -35,6 +35,7 @@
 	manifestDecoding time.Duration
 	manifestReadAt   time.Time // when the last answered read of the manifest in the store began
 	vouchedAt        time.Time // when the leader last announced no newer manifest
+	vouched          bool      // see noteVouched
 	roster           *messenger.Roster
 	owners           map[pimento.ServiceName][]scheduler.Owner
 
--- a/router/keys_test.go
+++ b/router/keys_test.go
@@ -54,18 +54,22 @@
 // refuse their customers until one of them leads, although the store has lost nothing. One that
 // was restored from a copy may have an older manifest, so a new process waits for its leader.
 func TestStoreThatWasNeverRestoredIsTrusted(t *testing.T) {
+	const inForce = 3
 	for _, c := range []struct {
-		name   string
-		era    uint64 // of the store, zero: it names none
-		leader bool   // announces a version
-		wait   time.Duration
-		want   bool
+		name      string
+		era       uint64 // of the store, zero: it names none
+		announced uint64 // version, zero: no leader is heard
+		wait      time.Duration
+		want      bool
 	}{
-		{"no eras", 0, false, 0, true},
-		{"never restored", 1, false, 0, true},
-		{"restored", 2, false, 0, false},
-		{"restored, with a leader", 2, true, 0, true},
-		{"restored, no leader for long", 2, false, firstLeaderWait, true},
+		{"no eras", 0, 0, 0, true},
+		{"never restored", 1, 0, 0, true},
+		{"never restored, a newer one is on its way", 1, inForce + 1, 0, true},
+		{"restored", 2, 0, 0, false},
+		{"restored, with a leader", 2, inForce, 0, true},
+		{"restored, the leader has a newer one", 2, inForce + 1, 0, false},
+		{"restored, the leader has had a newer one for long", 2, inForce + 1, firstLeaderWait, false},
+		{"restored, no leader for long", 2, 0, firstLeaderWait, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -73,8 +77,9 @@
 				defer r.follower.confirmer.close()
 				r.self.Started = time.Now()
 				r.storeEra.Store(c.era)
-				if c.leader {
-					r.follower.Announced(messenger.Versions{Manifest: 1})
+				r.follower.versions.Manifest = inForce
+				if c.announced > 0 {
+					r.follower.Announced(messenger.Versions{Manifest: c.announced})
 				}
 				time.Sleep(c.wait)
 				if got := r.follower.mayTrustStore(); got != c.want {
@@ -84,3 +89,16 @@
 		})
 	}
 }
+
+// TestLeaderVouchesForLaterVersions checks that keys are used while a newer manifest is on its
+// way to a process whose leader has vouched for an earlier one, though the store was restored.
+func TestLeaderVouchesForLaterVersions(t *testing.T) {
+	is := is.New(t)
+	r := newRouter()
+	defer r.follower.confirmer.close()
+	r.storeEra.Store(2)
+	r.follower.versions.Manifest = 3
+	r.follower.Announced(messenger.Versions{Manifest: 3})
+	r.follower.Announced(messenger.Versions{Manifest: 4})
+	is.True(r.follower.mayTrustStore())
+}
--- a/router/manifest.go
+++ b/router/manifest.go
@@ -126,9 +126,26 @@
 
 // mayTrustStore reports whether the manifest in the store may decide alone which API keys
 // are in force. A store that was restored from a copy may show one that operators have
-// replaced, so a process that has just started waits for its leader to announce a version.
+// replaced, so a process that has just started waits for a leader that knows no newer one.
 func (f *follower) mayTrustStore() bool {
-	return f.router.storeEra.Load() <= firstEra || f.announcedVersion() > 0 || f.router.leader.IsLeader() || time.Since(f.router.self.Started) >= firstLeaderWait
+	if f.router.storeEra.Load() <= firstEra || f.isVouched() {
+		return true
+	}
+	return !f.lacksAnnounced() && (f.router.leader.IsLeader() || time.Since(f.router.self.Started) >= firstLeaderWait)
+}
+
+// isVouched reports whether a leader has known no newer manifest than the one that was in
+// force then. From then on this process never goes back.
+func (f *follower) isVouched() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.vouched
+}
+
+// noteVouched notes whether the leader knows no newer manifest than the one in force. The
+// caller holds mu.
+func (f *follower) noteVouched() {
+	f.vouched = f.vouched || f.announced.version > 0 && f.announced.version <= f.versions.Manifest
 }
 
 // lacksAnnounced reports whether the leader has announced a newer manifest than the
@@ -261,6 +278,7 @@
 		f.announced.since = time.Now()
 	}
 	f.announced.version = v.Manifest
+	f.noteVouched()
 	if v.Manifest > f.versions.Manifest {
 		select {
 		case f.announcedNewer <- struct{}{}:
@@ -297,6 +315,7 @@
 	}
 	f.view.Store(next)
 	f.encodedManifest, f.versions.Manifest, f.manifestDecoding = value, m.Version, took
+	f.noteVouched()
 	waited := time.Duration(0)
 	if f.announced.version >= m.Version {
 		waited = time.Since(f.announced.since)
