Let credits go where requests wait for them

Cause: with more dispatchers than a quota has credits, each of which has one in stock for two seconds, the leader's bucket is empty though the customer asks for half of its quota; what came back was divided in proportion, a fraction of a credit at each heartbeat, so that requests waited in vain, were refused (QuotaUnknown) and came back. Traced at 296 processes and 101 dispatchers: a quota of 128 a second, 25 credits in the bucket, 150 in stock, requests that waited 0.6 s and more got none. Besides, a process that had forgotten a customer which its leader remembered got all credits of the term again.

Change: processes report how many requests wait for a credit. While credits are scarce and the quota is not exceeded, only these get any, and credits in stock that nobody asks for come back after 0.3 s in place of 2 s. A process remembers totals until its leader has forgotten them.

--- a/admitter/quota.go
+++ b/admitter/quota.go
@@ -52,6 +52,7 @@
 		return true, nil
 	case allocator.Waiting:
 		if len(a.parked) >= maxParked {
+			a.account.Leave(c)
 			d := scheduler.Decision{Ticket: t.ID, Refusal: unknownQuotaRefusal(c)}
 			return false, a.applyDecisions(now, a.pool(key), []scheduler.Decision{d})
 		}
@@ -92,6 +93,7 @@
 		p := a.pool(x.key)
 		w, waits := p.waiting[x.ticket.ID]
 		if !waits { // its caller has left
+			a.account.Leave(x.customer)
 			continue
 		}
 		switch a.account.Retry(now, x.customer) {
@@ -106,6 +108,7 @@
 				kept = append(kept, x)
 				continue
 			}
+			a.account.Leave(x.customer)
 			d := scheduler.Decision{Ticket: x.ticket.ID, Refusal: unknownQuotaRefusal(x.customer)}
 			callbacks = append(callbacks, a.applyDecisions(now, p, []scheduler.Decision{d})...)
 		}
--- a/allocator/account.go
+++ b/allocator/account.go
@@ -12,6 +12,8 @@
 const (
 	// idleAfter is how long credits are kept that nobody asks for.
 	idleAfter = 2 * time.Second
+	// scarceIdleAfter is the same while credits are scarce.
+	scarceIdleAfter = 300 * time.Millisecond
 	// autonomyBurst is how much of its rate a process without a leader may admit at once.
 	autonomyBurst = 500 * time.Millisecond
 	// maxBooked bounds the callers that are given different times to come back.
@@ -53,9 +55,11 @@
 	credits   int
 	granted   uint64 // by the present leader, in all
 	exhausted bool
+	scarce    bool
 	rate      float64 // credits a second that it may count on, if exhausted
 
 	asked      int // since the last report
+	waiting    int // requests that wait for a credit
 	returned   int // credits, since the last report
 	askedAt    time.Time
 	spent      rate
@@ -88,7 +92,11 @@
 	b.asked++
 	b.askedAt = now
 	b.dirty = true
-	return a.Retry(now, c)
+	v := a.decide(now, c, b)
+	if v == Waiting {
+		b.waiting++
+	}
+	return v
 }
 
 // Retry decides again on a request that waits.
@@ -97,6 +105,18 @@
 		return Admitted
 	}
 	b := a.balance(c.Name)
+	v := a.decide(now, c, b)
+	if v != Waiting {
+		b.waiting--
+	}
+	return v
+}
+
+// Leave records that a request no longer waits.
+func (a *Account) Leave(c *pimento.Customer) { a.balance(c.Name).waiting-- }
+
+// decide decides on a request, and spends a credit if it is admitted.
+func (a *Account) decide(now time.Time, c *pimento.Customer, b *balance) Verdict {
 	b.askedAt = now
 	switch {
 	case b.credits > 0:
@@ -164,7 +184,7 @@
 	if epoch > a.epoch {
 		a.epoch = epoch
 		for _, b := range a.balances { // the leader does not know what is left
-			b.granted, b.exhausted, b.dirty = 0, false, true
+			b.granted, b.exhausted, b.scarce, b.dirty = 0, false, false, true
 		}
 	}
 	a.grantedAt, a.dispatchers = now, dispatchers
@@ -174,7 +194,7 @@
 			b.credits += int(g.Granted - b.granted)
 			b.granted = g.Granted
 		}
-		b.exhausted, b.rate, b.dirty = g.Exhausted, float64(g.Rate), true
+		b.exhausted, b.scarce, b.rate, b.dirty = g.Exhausted, g.Scarce, float64(g.Rate), true
 	}
 }
 
@@ -187,8 +207,8 @@
 	a.prune(now)
 	var out []Use
 	for name, b := range a.balances {
-		if b.dirty || b.credits > 0 && now.Sub(b.reportedAt) >= reportInterval {
-			out = append(out, Use{Customer: name, Asked: b.asked, Credits: b.credits, Granted: b.granted, Returned: b.returned})
+		if b.dirty || b.waiting > 0 || b.credits > 0 && now.Sub(b.reportedAt) >= reportInterval {
+			out = append(out, Use{Customer: name, Asked: b.asked, Credits: b.credits, Granted: b.granted, Returned: b.returned, Waiting: b.waiting})
 		}
 	}
 	slices.SortFunc(out, func(x, y Use) int { return cmp.Or(cmp.Compare(y.Asked, x.Asked), cmp.Compare(x.Customer, y.Customer)) })
@@ -205,14 +225,16 @@
 func (a *Account) prune(now time.Time) {
 	cutOff := now.Sub(a.grantedAt) > autonomyTime
 	maps.DeleteFunc(a.balances, func(_ pimento.CustomerName, b *balance) bool {
-		idle := now.Sub(b.askedAt) > idleAfter
+		unused := now.Sub(b.askedAt)
+		idle := unused > idleAfter || b.scarce && unused > scarceIdleAfter
 		if (cutOff || idle) && b.credits > 0 {
 			if !cutOff { // else the leader counts them as spent
 				b.returned += b.credits
 			}
 			b.credits, b.dirty = 0, true
 		}
-		return idle && !b.dirty && now.Sub(b.askedAt) > 2*autonomyTime
+		// The leader has forgotten it as well by then.
+		return idle && !b.dirty && min(unused, now.Sub(b.reportedAt)) > 2*autonomyTime
 	})
 }
 
--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -51,9 +51,11 @@
 	demandDecay = time.Second
 	// minDemand, in requests a second, is what counts as no demand.
 	minDemand = 0.05
-	// scarceTime is how much of the demand there must be credits for, so that they are not
-	// divided in proportion.
+	// scarceTime is how much of the demand there must be credits for, so that they may be
+	// stocked, and are not divided in proportion.
 	scarceTime = 300 * time.Millisecond
+	// plentyFactor times that are enough for a quota that was scarce no longer to be so.
+	plentyFactor = 3
 	// silentAfter is how long a process does not hear of the other side until it counts on
 	// being cut off from it.
 	silentAfter = 700 * time.Millisecond
@@ -92,6 +94,7 @@
 	Credits  int                  `cbor:"3,keyasint,omitempty"` // that it has left
 	Granted  uint64               `cbor:"4,keyasint,omitempty"` // credits that this leader has granted it, in all
 	Returned int                  `cbor:"5,keyasint,omitempty"` // credits that nobody asked for, since the last report
+	Waiting  int                  `cbor:"6,keyasint,omitempty"` // requests that wait for a credit now
 }
 
 // Grant is what a process gets for a customer.
@@ -101,6 +104,8 @@
 	Exhausted bool                 `cbor:"3,keyasint,omitempty"` // the customer asks for more than its quota
 	// Rate is how many credits a second the process may count on, if Exhausted.
 	Rate float32 `cbor:"4,keyasint,omitempty"`
+	// Scarce means that credits that nobody asks for should come back soon.
+	Scarce bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Change says that the quota of a customer has become exhausted, or no longer is.
@@ -132,6 +137,7 @@
 	at        time.Time
 	demand    rate
 	exhausted bool
+	scarce    bool // most credits lie at processes
 }
 
 // part is what one process has of a quota.
@@ -140,7 +146,7 @@
 	granted    uint64 // in all
 	seen       uint64 // of these, as last reported
 	credits    int    // as last reported
-	asked      int    // in the last report
+	waiting    int    // as last reported
 	demand     rate
 	carry      float64 // fraction of a credit that it is owed
 	reportedAt time.Time
@@ -296,7 +302,7 @@
 			p = &part{quota: q, granted: u.Granted, seen: u.Granted} // it was dropped here
 			parts[u.Customer] = p
 		}
-		p.asked = u.Asked
+		p.waiting = u.Waiting
 		q.held -= p.held()
 		p.credits, p.seen, p.reportedAt = u.Credits, min(u.Granted, p.granted), now
 		q.held += p.held()
@@ -316,11 +322,11 @@
 		n := q.grant(now, p, a.stock(now, p, dispatches))
 		p.granted += uint64(n)
 		q.held += float64(n)
-		g := Grant{Customer: name, Granted: p.granted, Exhausted: q.exhausted}
+		g := Grant{Customer: name, Granted: p.granted, Exhausted: q.exhausted, Scarce: q.scarce}
 		if q.exhausted {
 			g.Rate = float32(q.rate * q.shareOf(now, p))
 		}
-		if p.seen < p.granted || g.Exhausted != p.told.Exhausted {
+		if p.seen < p.granted || g.Exhausted != p.told.Exhausted || g.Scarce != p.told.Scarce {
 			out = append(out, g)
 			p.told = g
 		}
@@ -359,7 +365,11 @@
 		return 0
 	}
 	give := min(stock-held, math.Floor(q.credits))
-	if q.credits < all*scarceTime.Seconds() {
+	switch {
+	case q.credits >= all*scarceTime.Seconds():
+	case all < q.rate: // there will be enough for those who wait, so nobody gets a stock
+		give = min(math.Floor(q.credits), float64(p.waiting)-held)
+	default:
 		p.carry += max(0, q.credits) * q.shareOf(now, p)
 		give = min(give, math.Floor(p.carry))
 		p.carry = min(p.carry-max(give, 0), 1)
@@ -369,9 +379,12 @@
 	return int(give)
 }
 
-// noteExhaustion records whether a customer asks for more than its quota.
+// noteExhaustion records whether a customer asks for more than its quota, and whether its
+// credits are scarce.
 func (a *Allocator) noteExhaustion(now time.Time, name pimento.CustomerName, q *quota) {
 	demand := q.demand.value(now)
+	few := demand * scarceTime.Seconds()
+	q.scarce = q.credits < few || q.scarce && q.credits < min(plentyFactor*few, q.most/2)
 	exhausted := demand > q.rate*exhaustedMargin && (q.exhausted || q.credits+q.held < max(1, exhaustedShare*q.most))
 	if exhausted == q.exhausted {
 		return
@@ -380,11 +393,10 @@
 	a.changes = append(a.changes, Change{Customer: name, Exhausted: exhausted, Rate: q.rate, Demand: demand})
 }
 
-// IsShort reports whether a process has no credit for a customer that it is asked for, while
-// there are some here.
+// IsShort reports whether requests wait at a process for a credit, while there are some here.
 func (a *Allocator) IsShort(id pimento.ProcessID) bool {
 	for _, p := range a.parts[id] {
-		if p.asked > 0 && p.held() == 0 && p.quota.credits >= 1 {
+		if p.waiting > 0 && p.held() == 0 && p.quota.credits >= 1 {
 			return true
 		}
 	}
--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -39,14 +40,47 @@
 	epoch     uint64
 	leader    *Allocator // nil: there is none
 	processes []*process
-	first     int     // so many of the processes are dispatchers, zero: all
-	idle      bool    // no upstream is reached, so that credits are returned to the account
-	loss      float64 // of messages
+	first     int           // so many of the processes are dispatchers, zero: all
+	idle      bool          // no upstream is reached, so that credits are returned to the account
+	loss      float64       // of messages
+	latency   time.Duration // of a heartbeat and its reply, half each
+	back      time.Duration // after which refused callers come back once, zero: never
+	later     []delayed
 	admitted  []time.Time
 	asked     int
 	refused   int
 }
 
+// delayed is what happens at a later time.
+type delayed struct {
+	at time.Time
+	do func()
+}
+
+// after lets something happen after a time, at once if that is zero.
+func (d *deployment) after(wait time.Duration, do func()) {
+	if wait == 0 {
+		do()
+		return
+	}
+	d.later = append(d.later, delayed{d.now.Add(wait), do})
+}
+
+// runDelayed lets happen what is due.
+func (d *deployment) runDelayed() {
+	var due []delayed
+	d.later = slices.DeleteFunc(d.later, func(x delayed) bool {
+		if x.at.After(d.now) {
+			return false
+		}
+		due = append(due, x)
+		return true
+	})
+	for _, x := range due {
+		x.do()
+	}
+}
+
 func newDeployment(seed uint64, n int, c pimento.Customer) *deployment {
 	d := &deployment{random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), customer: c}
 	for i := range n {
@@ -89,6 +123,7 @@
 // run simulates a time in which callers ask at a rate.
 func (d *deployment) run(length time.Duration, rate float64) {
 	for end := d.now.Add(length); d.now.Before(end); d.now = d.now.Add(tick) {
+		d.runDelayed()
 		for _, p := range d.processes {
 			if d.leader != nil && !d.now.Before(p.nextAt) {
 				p.nextAt = d.now.Add(heartbeatInterval)
@@ -107,14 +142,22 @@
 	if p.cut || d.random.Float64() < d.loss {
 		return
 	}
-	p.account.Apply(d.now, d.epoch, d.leader.Dispatchers(), d.leader.Grants(d.now, p.id))
-	uses := p.account.Uses(d.now)
-	if d.random.Float64() >= d.loss {
-		d.leader.Report(d.now, p.id, uses)
-		if d.leader.IsShort(p.id) {
-			p.nextAt = d.now.Add(heartbeatInterval / 2)
+	l, epoch, grants := d.leader, d.epoch, d.leader.Grants(d.now, p.id)
+	p.nextAt = d.now.Add(max(heartbeatInterval, d.latency))
+	sentAt := d.now
+	d.after(d.latency/2, func() {
+		p.account.Apply(d.now, epoch, l.Dispatchers(), grants)
+		uses := p.account.Uses(d.now)
+		if d.random.Float64() < d.loss {
+			return
 		}
-	}
+		d.after(d.latency/2, func() {
+			l.Report(d.now, p.id, uses)
+			if l.IsShort(p.id) {
+				p.nextAt = sentAt.Add(max(heartbeatInterval/2, d.latency))
+			}
+		})
+	})
 }
 
 func (d *deployment) ask(p *process) {
@@ -129,10 +172,26 @@
 	case Waiting:
 		p.waiting = append(p.waiting, d.now)
 	default:
-		d.refused++
+		d.refuse()
 	}
 }
 
+// refuse refuses a request, whose caller may come back to any process.
+func (d *deployment) refuse() {
+	d.refused++
+	if d.back == 0 {
+		return
+	}
+	d.after(d.back, func() {
+		p := d.processes[d.random.IntN(len(d.processes))]
+		if p.account.Ask(d.now, &d.customer) == Admitted {
+			d.admitted = append(d.admitted, d.now)
+			return
+		}
+		p.waiting = append(p.waiting, d.now)
+	})
+}
+
 func (d *deployment) retry(p *process) {
 	for len(p.waiting) > 0 && p.account.Retry(d.now, &d.customer) == Admitted {
 		if d.idle {
@@ -144,7 +203,8 @@
 		p.waiting = p.waiting[1:]
 	}
 	for len(p.waiting) > 0 && d.now.Sub(p.waiting[0]) > creditWait {
-		d.refused++
+		p.account.Leave(&d.customer)
+		d.refuse()
 		p.waiting = p.waiting[1:]
 	}
 }
@@ -260,11 +320,36 @@
 			d.run(5*time.Second, 0)
 			d.run(60*time.Second, c.load*c.rate)
 			t.Logf("%d of %d refused", d.refused, d.asked)
+			most, allowed := d.worst()
+			is.True(float64(most) <= allowed)
 			is.True(float64(d.refused) <= c.refused*float64(d.asked))
 		})
 	}
 }
 
+// TestManyDispatchersFarAway replays customers below their quota that are served by more
+// dispatchers than there are credits, with heartbeats that take long, and callers that come back.
+// It guards against credits that all lie in stock somewhere, so that requests wait in vain.
+func TestManyDispatchersFarAway(t *testing.T) {
+	for _, c := range []struct {
+		rate, load float64 // of the quota, and as a part of it
+	}{
+		{46, 0.4}, {46, 0.62}, {128, 0.4}, {128, 0.62}, {10, 0.4},
+	} {
+		t.Run(fmt.Sprintf("%g of %g", c.load, c.rate), func(t *testing.T) {
+			is := is.New(t)
+			d := newDeployment(1, 125, pimento.Customer{Name: "c", Rate: c.rate, Burst: c.rate})
+			d.latency, d.back = 180*time.Millisecond, 400*time.Millisecond
+			d.run(5*time.Second, 0)
+			d.run(40*time.Second, c.load*c.rate)
+			t.Logf("%d of %d refused", d.refused, d.asked)
+			most, allowed := d.worst()
+			is.True(float64(most) <= allowed)
+			is.True(float64(d.refused) <= 0.02*float64(d.asked))
+		})
+	}
+}
+
 // TestLossesCostLittle replays a customer below its quota while the leader is lost, or its
 // requests go to other dispatchers, and guards against refusals for want of credits.
 func TestLossesCostLittle(t *testing.T) {
@@ -394,5 +479,23 @@
 	is.Equal(a.Credits("c"), 4)
 	a.Apply(now, 3, 3, []Grant{{Customer: "c", Granted: 1}})
 	is.Equal(a.Credits("c"), 5) // what was left counts, as reported to the new leader
-	is.Equal(a.Uses(now), []Use{{Customer: "c", Asked: 1, Credits: 5, Granted: 1}})
+	is.Equal(a.Uses(now), []Use{{Customer: "c", Asked: 1, Credits: 5, Granted: 1, Waiting: 1}})
+}
+
+// TestTotalsOutliveCredits guards against a process that forgets how many credits it was granted
+// while the leader remembers, so that it gets them again.
+func TestTotalsOutliveCredits(t *testing.T) {
+	is := is.New(t)
+	var a Account
+	now := time.Unix(1000, 0)
+	is.Equal(a.Ask(now, &pimento.Customer{Name: "c", Rate: 1}), Waiting)
+	a.Apply(now, 1, 3, []Grant{{Customer: "c", Granted: 5}})
+	now = now.Add(3 * autonomyTime)
+	a.Apply(now, 1, 3, []Grant{{Customer: "c", Granted: 5, Exhausted: true}})
+	a.Uses(now) // from which the leader knows it again
+	now = now.Add(heartbeatInterval)
+	a.Uses(now)
+	is.Equal(a.Credits("c"), 0)
+	a.Apply(now, 1, 3, []Grant{{Customer: "c", Granted: 6}})
+	is.Equal(a.Credits("c"), 1)
 }
