Report that no request waits for a credit any more

Cause: found by rereading: a request that left, was refused or was admitted without a credit was not reported as no longer waiting, so that the leader went on to give its process credits and quick heartbeats while credits were scarce.

Change: it is reported with the next heartbeat.

--- a/allocator/account.go
+++ b/allocator/account.go
@@ -107,13 +107,18 @@
 	b := a.balance(c.Name)
 	v := a.decide(now, c, b)
 	if v != Waiting {
-		b.waiting--
+		b.leave()
 	}
 	return v
 }
 
 // Leave records that a request no longer waits.
-func (a *Account) Leave(c *pimento.Customer) { a.balance(c.Name).waiting-- }
+func (a *Account) Leave(c *pimento.Customer) { a.balance(c.Name).leave() }
+
+func (b *balance) leave() {
+	b.waiting--
+	b.dirty = true
+}
 
 // decide decides on a request, and spends a credit if it is admitted.
 func (a *Account) decide(now time.Time, c *pimento.Customer, b *balance) Verdict {
--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -365,11 +365,11 @@
 		return 0
 	}
 	give := min(stock-held, math.Floor(q.credits))
+	few := q.credits < all*scarceTime.Seconds()
 	switch {
-	case q.credits >= all*scarceTime.Seconds():
-	case all < q.rate: // there will be enough for those who wait, so nobody gets a stock
+	case few && all < q.rate: // enough for those who wait, so nobody gets a stock
 		give = min(math.Floor(q.credits), float64(p.waiting)-held)
-	default:
+	case few:
 		p.carry += max(0, q.credits) * q.shareOf(now, p)
 		give = min(give, math.Floor(p.carry))
 		p.carry = min(p.carry-max(give, 0), 1)
--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -482,6 +482,22 @@
 	is.Equal(a.Uses(now), []Use{{Customer: "c", Asked: 1, Credits: 5, Granted: 1, Waiting: 1}})
 }
 
+// TestNobodyWaitsAnyMore checks that the leader hears that a request has left, so that it gives
+// no credits for it.
+func TestNobodyWaitsAnyMore(t *testing.T) {
+	is := is.New(t)
+	var a Account
+	now := time.Unix(1000, 0)
+	c := &pimento.Customer{Name: "c", Rate: 1}
+	is.Equal(a.Ask(now, c), Waiting)
+	is.Equal(a.Uses(now), []Use{{Customer: "c", Asked: 1, Waiting: 1}})
+	is.Equal(a.Retry(now, c), Waiting)
+	is.Equal(a.Uses(now), []Use{{Customer: "c", Waiting: 1}})
+	a.Leave(c)
+	is.Equal(a.Uses(now), []Use{{Customer: "c"}})
+	is.Equal(len(a.Uses(now)), 0)
+}
+
 // TestTotalsOutliveCredits guards against a process that forgets how many credits it was granted
 // while the leader remembers, so that it gets them again.
 func TestTotalsOutliveCredits(t *testing.T) {
