Let processes that start without a leader read upstreams in turn

Cause: 1.5 s after the start, each process without a leader reads the whole list of upstreams.

Change: a process first waits for a random part of the time in which all that the last leader knew can read one after the other, 20 ms each, or until a leader has sent the list. So nothing changes at a first start, and little below a hundred processes.

Result: TestProcessesReadUpstreamsInTurn fails without it (20 of 20 read within a second, now 3).

--- a/leader/campaign.go
+++ b/leader/campaign.go
@@ -228,6 +228,7 @@
 		return
 	}
 	l.assignment, l.handedEpoch = s.assignment, 0
+	l.members.Store(int64(len(s.assignment.Members)))
 	if l.elector.AdoptTerm(now, s.assignment.Term) {
 		l.Events.Emit(pimento.EventTermAdopted, "Epoch", s.assignment.Term.Epoch, "Leader", s.assignment.Term.Leader)
 	}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -135,6 +135,7 @@
 	delay           delay
 	quotas          atomic.Pointer[[]pimento.QuotaReport] // nil unless this process leads
 	ranges          atomic.Int64                          // of keys, zero unless this process leads
+	members         atomic.Int64                          // of the newest stored assignment that is known here
 	inbox           chan func()
 	stampID         uint64 // in the stamps of this process
 	elector         *elector.Machine
@@ -456,6 +457,10 @@
 // jitter returns a random duration below d.
 func jitter(d time.Duration) time.Duration { return rand.N(d) }
 
+// Members returns how many processes the newest assignment that this process has read names,
+// zero if it has read none.
+func (l *Leader) Members() int { return int(l.members.Load()) }
+
 // Ranges returns how many ranges of keys this process grants, zero unless it leads.
 func (l *Leader) Ranges() int { return int(l.ranges.Load()) }
 
--- a/router/upstreams.go
+++ b/router/upstreams.go
@@ -201,6 +201,7 @@
 // upstream refuses keys that it does not hold.
 func (f *follower) pollState(ctx context.Context) error {
 	sleep(ctx, firstLeaderWait)
+	f.awaitTurn(ctx)
 	backoff := timekeeper.Backoff{Initial: minUpstreamsPause, Max: maxStoreRetry}
 	timeout, failures := confirmTimeout, 0
 	for ctx.Err() == nil {
@@ -223,10 +224,27 @@
 		}
 		timeout = maxConfirmTimeout
 		sleep(ctx, backoff.Pause())
+		f.awaitTurn(ctx)
 	}
 	return ctx.Err()
 }
 
+// listSpacing is the mean time between two processes that read the whole list of upstreams
+// while there is no leader. The campaigns of the others need the store meanwhile.
+const listSpacing = 20 * time.Millisecond
+
+// awaitTurn waits for a random part of the time in which all processes can read the list of
+// upstreams one after the other, or until a leader has sent it.
+func (f *follower) awaitTurn(ctx context.Context) {
+	spread := time.Duration(f.router.leader.Members()) * listSpacing
+	if spread == 0 {
+		return
+	}
+	for end := time.Now().Add(rand.N(spread)); f.mustReadUpstreams() && time.Now().Before(end) && ctx.Err() == nil; {
+		sleep(ctx, upstreamsCheckInterval)
+	}
+}
+
 // readState reads the upstreams and, if they were not read of late, the failure domains
 // out of service. Each of the two reads may take as long as the timeout.
 func (f *follower) readState(ctx context.Context, timeout time.Duration) error {
