Say in a comment when credits are scarce

Cause: reread as a newcomer would; two comments did not say what they meant.

Change: comments only.

Result: formatter, linters and the tests of the package pass.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -54,7 +54,8 @@
 	// scarceTime is how much of the demand there must be credits for, so that they may be
 	// stocked, and are not divided in proportion.
 	scarceTime = 300 * time.Millisecond
-	// plentyFactor times that are enough for a quota that was scarce no longer to be so.
+	// plentyFactor is how many times as many there must be until they no longer count as
+	// scarce.
 	plentyFactor = 3
 	// silentAfter is how long a process does not hear of the other side until it counts on
 	// being cut off from it.
@@ -137,7 +138,7 @@
 	at        time.Time
 	demand    rate
 	exhausted bool
-	scarce    bool // most credits lie at processes
+	scarce    bool // few credits are here; see noteExhaustion
 }
 
 // part is what one process has of a quota.
