Keep count of waiting requests over a suspension

Cause: found by rereading: a process that was suspended for more than 8 s while requests waited for a credit dropped its count of them, and then took them off a new one. The count was too low from then on, so that the leader did not hear of a request that waited while credits were scarce.

Change: a count is kept as long as a request waits.

Result: TestSuspendedWhileRequestsWait failed before: it reported none for one that waited.

--- a/allocator/account.go
+++ b/allocator/account.go
@@ -239,7 +239,7 @@
 			b.credits, b.dirty = 0, true
 		}
 		// The leader has forgotten it as well by then.
-		return idle && !b.dirty && min(unused, now.Sub(b.reportedAt)) > 2*autonomyTime
+		return idle && !b.dirty && b.waiting == 0 && min(unused, now.Sub(b.reportedAt)) > 2*autonomyTime
 	})
 }
 
--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -498,6 +498,22 @@
 	is.Equal(len(a.Uses(now)), 0)
 }
 
+// TestSuspendedWhileRequestsWait guards against a process that was suspended for long, and then
+// takes requests that wait off a count that it has dropped meanwhile.
+func TestSuspendedWhileRequestsWait(t *testing.T) {
+	is := is.New(t)
+	var a Account
+	now := time.Unix(1000, 0)
+	c := &pimento.Customer{Name: "c", Rate: 1}
+	is.Equal(a.Ask(now, c), Waiting)
+	a.Uses(now)
+	now = now.Add(time.Minute)
+	a.Uses(now)
+	a.Leave(c)
+	is.Equal(a.Ask(now, c), Waiting)
+	is.Equal(a.Uses(now), []Use{{Customer: "c", Asked: 1, Waiting: 1}})
+}
+
 // TestTotalsOutliveCredits guards against a process that forgets how many credits it was granted
 // while the leader remembers, so that it gets them again.
 func TestTotalsOutliveCredits(t *testing.T) {
