--- a/review/probe/main.go
+++ b/review/probe/main.go
@@ -54,29 +54,35 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	defer play.close()
+	v, err := playCase(number, play)
+	if err != nil {
+		v.summary = fmt.Sprintf("could not run: %v", err)
+	}
+	play.log.add("%s", v.summary)
+	play.close() // before anything is printed: the reader may be gone
+	fmt.Println(v.summary)
+	switch {
+	case err != nil:
+		return exitFailed
+	case v.broken:
+		return exitBroken
+	}
+	return exitHeld
+}
+
+// playCase plays a case until it ends, its time is over, or the process is told to stop.
+func playCase(number int, p *play) (verdict, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), maxRun)
 	defer cancel()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	runCase, ok := cases[number]
 	if !ok {
-		fmt.Fprintf(os.Stderr, "there is no case %d\n", number)
-		return exitFailed
-	}
-	v, err := runCase(ctx, play)
-	if err == nil {
-		err = ctx.Err()
+		return verdict{}, fmt.Errorf("there is no case %d", number)
 	}
+	v, err := runCase(ctx, p)
 	if err != nil {
-		play.log.add("could not run: %v", err)
-		fmt.Println("could not run:", err)
-		return exitFailed
+		return v, err
 	}
-	play.log.add("%s", v.summary)
-	fmt.Println(v.summary)
-	if v.broken {
-		return exitBroken
-	}
-	return exitHeld
+	return v, ctx.Err()
 }
