--- a/review/probe/consumer.go
+++ b/review/probe/consumer.go
@@ -67,6 +67,11 @@
 
 // send sends a request, and reports false if the connection may not be used any more.
 func (c *consumer) send(method, path string, limit time.Duration, body []byte) (*attempt, bool) {
+	return c.begin(method, path, limit, len(body), body)
+}
+
+// begin sends the head of a request with a body of some length, and the beginning of that.
+func (c *consumer) begin(method, path string, limit time.Duration, length int, body []byte) (*attempt, bool) {
 	a := &attempt{id: newID(), path: path, sentAt: time.Now(), limit: limit}
 	c.mu.Lock()
 	if c.closing {
@@ -81,8 +86,8 @@
 	if keyed := strings.HasPrefix(path, "/guide/"); keyed {
 		head += fmt.Sprintf("%s: %d\r\n", headerKey, rand.N(lastKey+1))
 	}
-	if body != nil {
-		head += fmt.Sprintf("Content-Length: %d\r\n", cap(body)) // the rest may follow
+	if length > 0 {
+		head += fmt.Sprintf("Content-Length: %d\r\n", length)
 	}
 	if _, err := c.conn.Write(append([]byte(head+"\r\n"), body...)); err != nil {
 		c.log.add("%s cannot send all of %s: %v", c.name, a.id, err)
--- a/review/probe/early.go
+++ b/review/probe/early.go
@@ -56,7 +56,7 @@
 
 // upload sends a long request in parts, and reports whether all of it was sent.
 func (c *consumer) upload(ctx context.Context) bool {
-	a, ok := c.send("POST", "/reel/1", earlyLimit, make([]byte, 0, earlyBytes))
+	a, ok := c.begin("POST", "/reel/1", earlyLimit, earlyBytes, nil)
 	if !ok {
 		return false
 	}
--- a/review/probe/memory.go
+++ b/review/probe/memory.go
@@ -72,5 +72,6 @@
 	if err := pause(ctx, videoLimit+time.Second); err != nil {
 		return verdict{}, err
 	}
+	p.log.add("%s had %s of memory at most", p.relays[0].name, p.relays[0].peakMemory())
 	return countLost(p, consumers, seen, false, 3), nil
 }
--- a/review/probe/play.go
+++ b/review/probe/play.go
@@ -257,13 +257,18 @@
 	}
 }
 
-// restart stops the process and starts it again.
-func (p *play) restart(r *relay) {
-	r.terminate()
-	<-r.ended
-	if err := p.startRelay(r); err != nil {
-		p.log.add("%s cannot start: %v", r.name, err)
+// peakMemory returns the most memory that the process has had, as the kernel says.
+func (r *relay) peakMemory() string {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", r.command.Process.Pid))
+	if err != nil {
+		return err.Error()
+	}
+	for line := range strings.Lines(string(text)) {
+		if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			return strings.TrimSpace(value)
+		}
 	}
+	return "unknown"
 }
 
 // grace is grace_s of the settings.
