--- a/review/probe/consumer.go
+++ b/review/probe/consumer.go
@@ -51,7 +51,13 @@
 
 // newConsumer connects over a line with consumerDelay.
 func newConsumer(log *record, name, address string) (*consumer, error) {
-	conn, err := dialDelayed(address)
+	return newSlowConsumer(log, name, address, 0)
+}
+
+// newSlowConsumer is newConsumer over a line that carries rate bytes of answers a second;
+// zero: as they come.
+func newSlowConsumer(log *record, name, address string, rate int) (*consumer, error) {
+	conn, err := dialDelayed(address, rate)
 	if err != nil {
 		return nil, err
 	}
--- a/review/probe/line.go
+++ b/review/probe/line.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"errors"
 	"net"
+	"syscall"
 	"time"
 )
 
@@ -15,6 +17,19 @@
 	linePiece  = 16 << 10
 )
 
+// slowLineBuffer is the receive buffer of a slow line: the links of the platform have small
+// windows.
+const slowLineBuffer = 32 << 10
+
+// setReceiveBuffer sets the receive buffer of a socket.
+func setReceiveBuffer(c syscall.RawConn, bytes int) error {
+	var optionErr error
+	err := c.Control(func(fd uintptr) {
+		optionErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes)
+	})
+	return errors.Join(err, optionErr)
+}
+
 // piece is a part of what one side has sent.
 type piece struct {
 	at   time.Time
@@ -22,9 +37,16 @@
 }
 
 // dialDelayed connects to an address over a line with consumerDelay, through a proxy in
-// this process.
-func dialDelayed(address string) (net.Conn, error) {
-	far, err := net.Dial("tcp", address)
+// this process. The line carries rate bytes a second of what the address sends; zero: as it
+// comes.
+func dialDelayed(address string, rate int) (net.Conn, error) {
+	dialer := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+		if rate == 0 {
+			return nil
+		}
+		return setReceiveBuffer(c, slowLineBuffer)
+	}}
+	far, err := dialer.Dial("tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -48,10 +70,10 @@
 	go func() {
 		ended := make(chan struct{})
 		go func() {
-			carry(far, middle)
+			carry(far, middle, 0)
 			close(ended)
 		}()
-		carry(middle, far)
+		carry(middle, far, rate)
 		<-ended
 		far.Close()
 		middle.Close()
@@ -59,9 +81,13 @@
 	return near, nil
 }
 
-// carry passes on what comes from one side after the delay, and its end.
-func carry(to, from net.Conn) {
+// carry passes on what comes from one side after the delay, at a rate if that is not zero,
+// and its end.
+func carry(to, from net.Conn, rate int) {
 	line := make(chan piece, linePieces)
+	if rate > 0 {
+		line = make(chan piece, 1)
+	}
 	go func() {
 		defer close(line)
 		for {
@@ -81,6 +107,9 @@
 		if failed {
 			continue
 		}
+		if rate > 0 {
+			time.Sleep(time.Duration(float64(len(p.data)) / float64(rate) * float64(time.Second)))
+		}
 		if _, err := to.Write(p.data); err != nil {
 			failed = true
 			from.Close()
--- a/review/probe/play.go
+++ b/review/probe/play.go
@@ -98,11 +98,7 @@
 		if rcvbuf == 0 {
 			return nil
 		}
-		var optionErr error
-		err := c.Control(func(fd uintptr) {
-			optionErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, rcvbuf)
-		})
-		return errors.Join(err, optionErr)
+		return setReceiveBuffer(c, rcvbuf)
 	}}
 	l, err := lc.Listen(context.Background(), "tcp", address)
 	if err != nil {
