Refuse what comes late in a shutdown and may outlast the process

Cause: a process in shutdown reads one more request on each connection in use, at any time until its end, and sends it, although it knows when it ends the requests that are left and how long this one may last at most. The two were never compared.

Change: once a process accepts no connections any more, it takes on a request only if its deadline is before the end of the process, and refuses it with 503, Stopping, and a Retry-After otherwise. It works since the refusal comes before anything is sent, so that it is true, and since all that is sent later has its final answer, or reaches its deadline, before the process ends its requests. The check at the send runs right before the request is written, with that of the API key.

--- a/forwarder/customer.go
+++ b/forwarder/customer.go
@@ -27,19 +27,12 @@
 	return d.customer == nil || f.Currency == nil || f.Currency.MayUseKeys(arrived)
 }
 
-// setCustomer sets the customer of a request, and the check that the API key is still in
-// force when the request is written: it may have waited, or be a retry.
-func (f *Forwarder) setCustomer(r *pimento.Request, d decision, arrived time.Time) {
-	r.Authenticated, r.Customer = d.view.Manifest.Authenticated, d.customer
-	if d.customer == nil {
-		return
-	}
-	r.Check = func() error { return f.checkKey(r, arrived) }
-}
-
-// checkKey returns the refusal of a request whose API key has been taken away since, or may
-// have been.
+// checkKey returns the refusal of a request whose API key has been taken away since it arrived,
+// or may have been.
 func (f *Forwarder) checkKey(r *pimento.Request, arrived time.Time) error {
+	if r.Customer == nil {
+		return nil
+	}
 	d := decision{view: f.View(), route: r.Route, customer: r.Customer}
 	if d.view.Manifest.Authenticated {
 		d.customer = d.view.customerOf(r)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -99,6 +99,9 @@
 	Currency Currency
 	// Records keeps the records of requests with a caller's ID; nil: none are kept.
 	Records Records
+	// EndsAt returns when this process ends the requests that are left, zero while it takes on
+	// requests however long they may last; nil: always zero.
+	EndsAt func() time.Time
 	// RequireKey refuses requests without a key for keyed services.
 	RequireKey bool
 	// Observer is notified of retries and ends of requests; it may be nil.
@@ -136,7 +139,8 @@
 	if decided.isUnauthorized() {
 		return pimento.Answer{}, pimento.NotRun(pimento.ReasonUnauthorized, "no customer holds the API key of the request")
 	}
-	f.setCustomer(r, decided, arrived)
+	r.Authenticated, r.Customer = view.Manifest.Authenticated, decided.customer
+	r.Check = func() error { return f.checkRequest(r, arrived) }
 	r.Route = route
 	r.Service = f.nextTarget(route)
 	if service, _ := view.Manifest.Service(r.Service); f.RequireKey && service.Sharing == pimento.SharingKeyed && !r.Keyed {
@@ -149,6 +153,9 @@
 	if end := arrived.Add(route.Timeout); end.Before(r.Deadline) {
 		r.Deadline = end
 	}
+	if err := f.checkArrival(r); err != nil {
+		return pimento.Answer{}, err
+	}
 	if r.HasCallerID && f.Records != nil && !route.Idempotent(r.Method) {
 		return f.forwardOnce(ctx, r, body, trace)
 	}
@@ -194,12 +201,22 @@
 	if len(attempt.Avoid) < attempt.Number {
 		return false // refused by the dispatcher, not by an upstream
 	}
-	if failure.Reason == pimento.ReasonUnauthorized || failure.Reason == pimento.ReasonStaleManifest {
-		return false
+	switch failure.Reason {
+	case pimento.ReasonUnauthorized, pimento.ReasonStaleManifest, pimento.ReasonStopping:
+		return false // refused by this process
 	}
 	return failure.Outcome == pimento.OutcomeNotRun || r.Route.Idempotent(r.Method)
 }
 
+// checkRequest returns the refusal of a request that must not be sent any more: it may have
+// waited since it arrived, or be a retry.
+func (f *Forwarder) checkRequest(r *pimento.Request, arrived time.Time) error {
+	if err := f.checkSend(r); err != nil {
+		return err
+	}
+	return f.checkKey(r, arrived)
+}
+
 // attempt acquires a permit and sends a request once.
 func (f *Forwarder) attempt(ctx context.Context, r *pimento.Request, body io.Reader, attempt *AttemptState, trace *Trace) (pimento.Answer, error) {
 	startedAt := time.Now()
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -46,7 +46,12 @@
 func (p *permit) Upstream() pimento.UpstreamName { return "u" }
 func (p *permit) Basis() Basis                   { return Basis{Dispatcher: "d"} }
 func (p *permit) Done(error)                     {}
-func (p *permit) Serve(_ context.Context, _ *pimento.Request, body io.Reader) (pimento.Answer, pimento.AnswerMetadata, error) {
+func (p *permit) Serve(_ context.Context, r *pimento.Request, body io.Reader) (pimento.Answer, pimento.AnswerMetadata, error) {
+	if r.Check != nil {
+		if err := r.Check(); err != nil {
+			return pimento.Answer{}, pimento.AnswerMetadata{}, err
+		}
+	}
 	p.dispatcher.sent++
 	if _, err := io.ReadAll(body); err != nil {
 		return pimento.Answer{}, pimento.AnswerMetadata{}, err
--- a/router/router.go
+++ b/router/router.go
@@ -89,6 +89,7 @@
 	leader      *leader.Leader
 	follower    *follower
 	leaving     atomic.Bool
+	endsAt      atomic.Pointer[time.Time] // see requestsEndAt
 	killOnce    sync.Once
 	killed      chan struct{}
 }
@@ -167,7 +168,7 @@
 	r.acceptor = &acceptor.Acceptor{
 		Handler: &forwarder.Forwarder{
 			View: r.follower.view.Load, Dispatcher: r.admitter, Records: r.registrar, RequireKey: r.RequireKey, Observer: r.observer,
-			Currency: r.follower.confirmer,
+			Currency: r.follower.confirmer, EndsAt: r.requestsEndAt,
 		},
 		Wire: r.CallerWire, Limits: r.follower.limits, IsCurrent: r.follower.confirmer.IsCurrent, OnRefused: r.observer.Refused, OnTruncated: r.observer.AnswerCut,
 		Budget: r.callersBudget(), MaxConnections: r.Connections, OnReplaced: r.observer.connectionReplaced, Delay: r.leader.Delay,
--- a/router/serve.go
+++ b/router/serve.go
@@ -141,8 +141,8 @@
 // shutDown drains the process before it ends. The process is no longer ready and
 // its answers close their connections. Once the platform must have noticed, it
 // accepts no new connections and waits, within the shutdown bound, for requests
-// in progress and, if it leads, for the store to be reachable. The requests that are
-// left then are ended with an answer.
+// in progress and, if it leads, for the store to be reachable. Requests that may last longer
+// are refused from then on. The requests that are left at the end are ended with an answer.
 func (r *Router) shutDown() {
 	r.events.Emit(pimento.EventProcessStopping)
 	r.leaving.Store(true)
@@ -150,8 +150,9 @@
 	r.acceptor.Drain()
 	start := time.Now()
 	time.Sleep(min(drainDelay, r.bounds.Load().Shutdown/3))
-	r.acceptor.StopAccepting()
 	deadline := start.Add(r.bounds.Load().Shutdown - shutdownMargin)
+	r.endsAt.Store(&deadline)
+	r.acceptor.StopAccepting()
 	quietSince := time.Now()
 	for now := time.Now(); now.Before(deadline) && now.Sub(quietSince) < quietPeriod; now = time.Now() {
 		if r.acceptor.Active() > 0 || r.leader.IsLeader() && !r.leader.StoreReachable() {
@@ -165,6 +166,15 @@
 	}
 }
 
+// requestsEndAt returns when the requests that are left are ended, zero while this process
+// accepts connections.
+func (r *Router) requestsEndAt() time.Time {
+	if at := r.endsAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // quietPeriod is how long a process keeps running after its last answer: a
 // request may have arrived that it has not read yet, and the bytes of an answer
 // must arrive before their connection is reset.
