--- a/fault.go
+++ b/fault.go
@@ -17,13 +17,16 @@
 	Allowed string
 }
 
+// maxShownValue is how much of an invalid value an error shows, in characters.
+const maxShownValue = 256
+
 // Error names the location, the value and what is allowed.
 func (f FieldError) Error() string {
 	location := f.Field
 	if f.Row > 0 {
 		location = fmt.Sprintf("row %d, column %d (%s)", f.Row, f.Column, f.Field)
 	}
-	return fmt.Sprintf("%s: %q is not allowed: want %s", location, f.Value, f.Allowed)
+	return fmt.Sprintf("%s: %.*q is not allowed: want %s", location, maxShownValue, f.Value, f.Allowed)
 }
 
 // ValidationError holds all invalid values of a subject.
