Take text that is not UTF-8 from other processes

What callers saw: with the project's own protocol, an order whose Idempotency-Key has a byte that is not UTF-8 got 503 from all processes but the one that keeps the records of its service, and never ran. The calls of other requests at that process failed with it.

Cause: messages between processes carry IDs and headers as CBOR text. The encoder writes any bytes, the decoder refuses those that are not UTF-8, and its error ends the connection. HTTP allows such bytes in header values.

TestIDThatIsNotUTF8 shows it from outside: 503 in place of 200.

Change: the decoder takes text as it is. It works since IDs are only compared, and headers passed on, as bytes.

--- a/messenger/message.go
+++ b/messenger/message.go
@@ -61,6 +61,15 @@
 	return mode
 }()
 
+// decMode takes text as it is: callers and upstreams may send any bytes in their headers.
+var decMode = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
 // encodeFrame encodes a message, prefixed with its length.
 func encodeFrame(m *Message) ([]byte, error) {
 	payload, err := encMode.Marshal(m)
@@ -97,7 +106,7 @@
 		return nil, err
 	}
 	m := &Message{}
-	if err := cbor.Unmarshal(payload, m); err != nil {
+	if err := decMode.Unmarshal(payload, m); err != nil {
 		return nil, err
 	}
 	return m, nil
