Let a message that cannot be sent fail alone

A state that could not be encoded ended the connection between two processes, and with it the permits that others waited for and the heartbeats.

Cause: an error of the encoder counted as one of the connection, though nothing had been written. The same held for a message that is too large, and for an answer.

Change: such a message fails as not sent, and its connection goes on. A call whose answer cannot be sent gets an empty one, which all callers take for none, so that it does not wait for its deadline. It works since a frame is encoded whole before its first byte is written.

The test failed before: a call that waits on the same connection failed in both cases of TestMessageThatCannotBeSent.

Measured: the tests of messenger pass with the race detector.

--- a/messenger/message.go
+++ b/messenger/message.go
@@ -70,14 +70,31 @@
 	return mode
 }()
 
-// encodeFrame encodes a message, prefixed with its length.
+// encodingError says that a message cannot be sent. Nothing was written, so that its connection
+// serves others as before.
+type encodingError struct{ cause error }
+
+// Error names the cause.
+func (e *encodingError) Error() string { return "the message cannot be encoded: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *encodingError) Unwrap() error { return e.cause }
+
+// isUnsent reports whether a message was not sent for what it holds.
+func isUnsent(err error) bool {
+	var e *encodingError
+	return errors.As(err, &e)
+}
+
+// encodeFrame encodes a message, prefixed with its length. Its errors are of the type
+// encodingError.
 func encodeFrame(m *Message) ([]byte, error) {
 	payload, err := encMode.Marshal(m)
 	if err != nil {
-		return nil, err
+		return nil, &encodingError{cause: err}
 	}
 	if len(payload) > maxFrame {
-		return nil, fmt.Errorf("%w: %d bytes", errFrame, len(payload))
+		return nil, &encodingError{cause: fmt.Errorf("%w: %d bytes", errFrame, len(payload))}
 	}
 	frame := make([]byte, 4, 4+len(payload))
 	binary.BigEndian.PutUint32(frame, uint32(len(payload)))
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -157,7 +157,11 @@
 	if call := msg.Call; call != 0 {
 		reply = func(answer *Message) {
 			answer.Call, answer.Reply = call, true
-			if l.out.write(answer) != nil {
+			err := l.out.write(answer)
+			if isUnsent(err) {
+				err = l.out.write(&Message{Call: call, Reply: true}) // the peer need not wait
+			}
+			if err != nil {
 				l.conn.Close() // ends the peer's calls
 			}
 		}
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -467,3 +467,49 @@
 	o.probe(pingedAt)
 	is.NoErr(o.err)
 }
+
+// TestMessageThatCannotBeSent guards against a message that cannot be encoded, or is too large,
+// and that ends the connection with the calls of others.
+func TestMessageThatCannotBeSent(t *testing.T) {
+	beyondRFC3339 := time.Date(57_000, 1, 1, 0, 0, 0, 0, time.UTC)
+	for name, bad := range map[string]*Message{
+		"time that is no text": {State: &State{Upstreams: &UpstreamList{Upstreams: []Upstream{{Server: pimento.Server{Started: beyondRFC3339}}}}}},
+		"too large":            {State: &State{Manifest: make([]byte, maxFrame+1)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newReceiver(true)
+			to, _ := startProcess(t, "server", h)
+			m, ctx := newCaller(t), testContext(t)
+			type result struct {
+				reply *Message
+				err   error
+			}
+			first, second := make(chan result, 1), make(chan result, 1)
+			call := func(done chan result) {
+				reply, err := m.Call(ctx, to, &Message{Vote: &Vote{Epoch: 1}})
+				done <- result{reply, err}
+			}
+			go call(first)
+			waitFor(t, h.received)
+
+			_, err := m.Call(ctx, to, bad)
+			is.True(m.Send(ctx, to, bad) != nil)
+			h.reply(0)(&Message{Vote: &Vote{Epoch: 7}})
+			got := waitFor(t, first)
+			is.NoErr(got.err)
+			is.Equal(got.reply.Vote.Epoch, uint64(7))
+			var unreachable *pimento.UnreachableError
+			is.True(errors.As(err, &unreachable))
+			is.True(unreachable.Unsent)
+
+			go call(second)
+			waitFor(t, h.received)
+			h.waitReplies(2)
+			h.reply(1)(bad) // answered, though with nothing
+			got = waitFor(t, second)
+			is.NoErr(got.err)
+			is.True(got.reply.State == nil)
+		})
+	}
+}
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -92,9 +92,8 @@
 	if err != nil {
 		return nil, &pimento.UnreachableError{Target: string(to.ID), Cause: err, Unsent: true}
 	}
-	if err := conn.out.write(msg); err != nil {
-		conn.fail(err)
-		return nil, &pimento.UnreachableError{Target: string(to.ID), Cause: err}
+	if err := conn.write(msg); err != nil {
+		return nil, &pimento.UnreachableError{Target: string(to.ID), Cause: err, Unsent: isUnsent(err)}
 	}
 	timer := time.NewTimer(pingAfter)
 	defer timer.Stop()
@@ -128,9 +127,8 @@
 	if err != nil {
 		return &pimento.UnreachableError{Target: string(to.ID), Cause: err}
 	}
-	if err := conn.out.write(msg); err != nil {
-		conn.fail(err)
-		return &pimento.UnreachableError{Target: string(to.ID), Cause: err}
+	if err := conn.write(msg); err != nil {
+		return &pimento.UnreachableError{Target: string(to.ID), Cause: err, Unsent: isUnsent(err)}
 	}
 	return nil
 }
@@ -272,6 +270,17 @@
 	}
 }
 
+// write writes a message, and ends the connection if that fails.
+func (o *outgoing) write(m *Message) error {
+	if err := o.out.write(m); err != nil {
+		if !isUnsent(err) {
+			o.fail(err)
+		}
+		return err
+	}
+	return nil
+}
+
 // fail ends the connection and every call on it.
 func (o *outgoing) fail(err error) {
 	o.mu.Lock()
