Keep the leader running when an assignment cannot be encoded

Cause: writeAssignment and handOver panicked if an assignment could not be encoded, which one value in it is enough for.

Change: such an assignment is not written. The leader logs 2025, goes on with the assignment in force, and tries again a second later. It works since all else that the leader does rests on the assignment in force, as it does while the store does not answer.

--- a/leader/campaign.go
+++ b/leader/campaign.go
@@ -47,6 +47,8 @@
 	callSpacing = 10 * time.Millisecond
 	// writeRetryInterval is the pause after a write that got no answer.
 	writeRetryInterval = 150 * time.Millisecond
+	// encodeRetryInterval is the pause after an assignment that cannot be encoded.
+	encodeRetryInterval = time.Second
 )
 
 // registeredProcess is a process with the revision of its entry. Another entry
@@ -448,14 +450,20 @@
 // writeAssignment writes an assignment conditionally on a revision and retries
 // until the store answers. A write without an answer may take effect later, so
 // it is retried unchanged: the condition lets only one of the two succeed.
-// If the store is restored meanwhile, done gets no assignment.
+// If the store is restored meanwhile, or the assignment cannot be encoded, done gets no
+// assignment.
 func (l *Leader) writeAssignment(ctx context.Context, next pimento.Assignment, base pimento.Revision, done func(storedAssignment, bool)) {
 	l.writtenVersion = max(l.writtenVersion, next.Version) + 1
 	next.Version = l.writtenVersion
 	next.WriteID = string(l.Self.ID) + "-" + strconv.FormatUint(rand.Uint64(), 36)
 	value, err := json.Marshal(next)
 	if err != nil {
-		panic(err) // all fields can be encoded
+		l.Events.Emit(pimento.EventAssignmentInvalid, "Epoch", next.Term.Epoch, "Cause", err)
+		go func() {
+			sleep(ctx, encodeRetryInterval)
+			l.post(ctx, func() { done(storedAssignment{}, false) })
+		}()
+		return
 	}
 	e := pimento.Entry{Kind: KindAssignment, Name: AssignmentName, Revision: base, Value: value}
 	go func() {
--- a/leader/era.go
+++ b/leader/era.go
@@ -135,14 +135,15 @@
 }
 
 // handOver returns the assignment of this leader for a candidate, nil if it does not
-// lead.
+// lead or the assignment cannot be encoded.
 func (l *Leader) handOver() []byte {
 	if !l.elector.IsLeader() || l.assignment == nil || l.assignment.Term.Epoch != l.elector.Term().Epoch {
 		return nil
 	}
 	value, err := json.Marshal(l.assignment)
 	if err != nil {
-		panic(err) // all fields can be encoded
+		l.Events.Emit(pimento.EventAssignmentInvalid, "Epoch", l.assignment.Term.Epoch, "Cause", err)
+		return nil
 	}
 	return value
 }
