Keep the confirmed term when the leader's task is started again

What callers could see: two leaders that act at the same time, and so two upstreams with the same keys.

Cause: Run made a new elector each time. A task that had failed and was started again knew no term, so it would confirm the heartbeat of an earlier leader that it had seen replaced, until it heard of the later term.

Change: Run keeps the elector. It resigns, since a step may have failed half-way, and drops a campaign that was under way, whose end was lost. It works since the ID of the process, under which others count its confirmations, stays the same too.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -230,10 +230,15 @@
 	formerGoneSince  time.Time // since when the assignment has former holders to clear
 }
 
-// Run leads, follows or campaigns until ctx ends.
+// Run leads, follows or campaigns until ctx ends. It may be called again after it has panicked:
+// the term that is known goes on to count, and what was under way is dropped.
 func (l *Leader) Run(ctx context.Context) error {
-	l.elector = elector.New(l.Self.ID, l.ElectorTiming)
+	if l.elector == nil {
+		l.elector = elector.New(l.Self.ID, l.ElectorTiming)
+	}
 	l.elector.Strength = l.strength
+	l.elector.Resign()
+	l.campaigning = false
 	l.campaignBackoff = timekeeper.Backoff{Initial: campaignPause, Max: maxCampaignBackoff}
 	l.registered = make(map[pimento.HostName]registeredProcess)
 	return l.run(ctx)
