Read no request behind the last answer of a connection

Cause: the writer decided at the start of an answer that it was the last one of the connection, and told the reader at its end. Until then, the reader read and ran requests. Nor did the writer know that a request had arrived in part.

Change: both decide under one lock. An answer is the last only if nothing else is pending or arriving, and nothing is read from then on. It works since the two decisions exclude each other, and since what is not read is discarded until the answer has arrived, so that the connection is not reset; by the protocol callers send it again.

The tests failed before: TestRequestBehindTheLastAnswer (the request was run) and TestRequestThatArrivesBeforeTheLastAnswer.

The tests of acceptor pass with the race detector, and of assembler those of replacements, late requests and awaited bodies.

--- a/acceptor/answer.go
+++ b/acceptor/answer.go
@@ -55,7 +55,7 @@
 		c.reportTruncated(x, context.Cause(c.ctx))
 		return false
 	}
-	last := x.last || c.isLast()
+	last := c.beginAnswer(x)
 	head := x.answer.Head
 	body := io.Reader(x.answer.Body)
 	if x.outcome != nil {
@@ -82,24 +82,21 @@
 	}
 }
 
-// isLast reports whether the process is draining and no other request is pending
-// on the connection. The reader marks requests that it reads while draining as
-// last, so that a caller that keeps sending is not served forever.
-func (c *conn) isLast() bool {
-	if !c.acceptor.draining.Load() {
-		return false
-	}
+// beginAnswer reports whether an answer is the last one of its connection: its request was
+// marked as that, or the process is draining and no other request is pending or arriving.
+// No request is read any more then. The reader marks requests that it reads while draining
+// as last, so that a caller that keeps sending is not served forever.
+func (c *conn) beginAnswer(x *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.pending <= 1
+	if x.last || c.acceptor.draining.Load() && c.pending <= 1 && !c.reading {
+		c.closing = true
+	}
+	return c.closing
 }
 
 // closeWrite closes the write side of the connection after its last answer.
-// Requests that arrive later are not answered.
 func (c *conn) closeWrite() {
-	c.mu.Lock()
-	c.closing = true
-	c.mu.Unlock()
 	if closer, ok := c.raw.(interface{ CloseWrite() error }); ok {
 		if err := closer.CloseWrite(); err != nil {
 			c.raw.Close()
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -34,7 +34,7 @@
 	mu            sync.Mutex
 	pending       int  // requests in queue or being answered
 	reading       bool // a request has arrived in part and is not in queue yet
-	closing       bool // the last answer has been written
+	closing       bool // no request is read any more: the last answer has begun
 	idleSince     time.Time
 	closeWhenIdle bool // set by closeIdle
 }
@@ -216,8 +216,7 @@
 		}
 		_, err := c.r.Peek(1)
 		if err == nil {
-			c.setReading()
-			return true
+			return c.setReading()
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return false
@@ -244,16 +243,17 @@
 	if _, err := c.r.Peek(1); err != nil {
 		return false
 	}
-	c.setReading()
-	return true
+	return c.setReading()
 }
 
 // setReading records that a request has begun to arrive, so that the connection
-// is not idle.
-func (c *conn) setReading() {
+// is not idle. It reports false if the last answer has begun: callers take
+// what they sent behind it for not read.
+func (c *conn) setReading() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = true
+	c.reading = !c.closing
+	return c.reading
 }
 
 // idle returns since when no request is pending or arriving, false if one is.
