Close a connection only when its caller has received its answers

Cause: an answer counted as done when the kernel had taken it, which holds seconds of a slow line. The connection was then closed as an idle one, and the process ended; input on a closed socket resets it.

Change: the kernel is asked how many bytes the caller has not acknowledged. While there are some, the connection is closed for writing only, its input is discarded, and a process in shutdown waits within its grace. It works since a socket that is open takes input without a reset. A connection on which the last answer has begun is not closed as an idle one any more.

The tests of acceptor and router pass with the race detector.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -16,7 +16,7 @@
 //	go a.Serve(ctx, listener)
 //	a.Drain()         // answers now close their connections
 //	a.StopAccepting() // no new connections; idle ones are closed
-//	for a.Active() > 0 { ... }
+//	for a.Active() > 0 || a.IsDelivering() { ... }
 //	a.EndRequests()   // those left are told
 package acceptor
 
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -32,11 +32,11 @@
 	writerDone chan struct{}  // closed when writeAnswers returns
 
 	mu            sync.Mutex
-	pending       int  // requests in queue or being answered
-	reading       bool // a request has arrived in part and is not in queue yet
-	closing       bool // no request is read any more: the last answer has begun
-	idleSince     time.Time
-	closeWhenIdle bool // set by closeIdle
+	pending       int       // requests in queue or being answered
+	reading       bool      // a request has arrived in part and is not in queue yet
+	closing       bool      // no request is read any more: the last answer has begun
+	idleSince     time.Time // when the last answer was written
+	closeWhenIdle bool      // set by closeIdle
 }
 
 func newConn(ctx context.Context, a *Acceptor, raw net.Conn) *conn {
@@ -100,12 +100,16 @@
 	c.mu.Lock()
 	busy := c.pending > 0 || c.closing
 	c.mu.Unlock()
+	if !busy && !c.isDelivered() {
+		c.closeWrite()
+		busy = true
+	}
 	if busy {
 		c.linger()
 	}
 }
 
-// linger discards input until the last answer has been written and lingerTimeout
+// linger discards input until the last answer has been delivered and lingerTimeout
 // passes without input. A caller that disconnects meanwhile cancels its requests.
 func (c *conn) linger() {
 	c.head.end()
@@ -122,7 +126,9 @@
 		}
 		select {
 		case <-c.writerDone:
-			return
+			if c.isDelivered() {
+				return
+			}
 		default:
 		}
 	}
@@ -370,12 +376,13 @@
 	c.queue <- x
 }
 
-// closeIdle closes the connection if no request is pending on it or arriving.
+// closeIdle closes the connection if no request is pending on it or arriving, unless its end
+// has begun.
 func (c *conn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closeWhenIdle = true
-	if c.pending == 0 && !c.reading {
+	if c.pending == 0 && !c.reading && !c.closing {
 		// A read deadline in the past ends the wait for the next request.
 		if err := c.raw.SetReadDeadline(time.Unix(1, 0)); err != nil {
 			c.raw.Close()
--- a/router/serve.go
+++ b/router/serve.go
@@ -141,8 +141,9 @@
 // shutDown drains the process before it ends. The process is no longer ready and
 // its answers close their connections. Once the platform must have noticed, it
 // accepts no new connections and waits, within the shutdown bound, for requests
-// in progress and, if it leads, for the store to be reachable. Requests that may last longer
-// are refused from then on. The requests that are left at the end are ended with an answer.
+// in progress, for callers to receive their answers and, if it leads, for the store to be
+// reachable. Requests that may last longer are refused from then on. The requests that
+// are left at the end are ended with an answer.
 func (r *Router) shutDown() {
 	r.events.Emit(pimento.EventProcessStopping)
 	r.leaving.Store(true)
@@ -154,7 +155,7 @@
 	r.endsAt.Store(&deadline)
 	r.acceptor.StopAccepting()
 	quietSince := time.Now()
-	for now := time.Now(); now.Before(deadline) && now.Sub(quietSince) < quietPeriod; now = time.Now() {
+	for now := time.Now(); now.Before(deadline) && (now.Sub(quietSince) < quietPeriod || r.acceptor.IsDelivering()); now = time.Now() {
 		if r.acceptor.Active() > 0 || r.leader.IsLeader() && !r.leader.StoreReachable() {
 			quietSince = now
 		}
