--- a/acceptor/answer.go
+++ b/acceptor/answer.go
@@ -82,32 +82,6 @@
 	}
 }
 
-// beginAnswer reports whether an answer is the last one of its connection: its request was
-// marked as that, or the process is draining and no other request is pending or arriving.
-// No request is read any more then. The reader marks requests that it reads while draining
-// as last, so that a caller that keeps sending is not served forever.
-func (c *conn) beginAnswer(x *exchange) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if x.last || c.acceptor.draining.Load() && c.pending <= 1 && !c.reading {
-		c.closing = true
-	}
-	return c.closing
-}
-
-// closeWrite closes the write side of the connection after its last answer.
-func (c *conn) closeWrite() {
-	if closer, ok := c.raw.(interface{ CloseWrite() error }); ok {
-		if err := closer.CloseWrite(); err != nil {
-			c.raw.Close()
-			return
-		}
-	}
-	if err := c.raw.SetReadDeadline(time.Now().Add(lingerTimeout)); err != nil {
-		c.raw.Close()
-	}
-}
-
 // refusalHead returns the head of the answer to a request that got none from an
 // upstream.
 func (c *conn) refusalHead(x *exchange) pimento.AnswerHead {
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -109,31 +109,6 @@
 	}
 }
 
-// linger discards input until the last answer has been delivered and lingerTimeout
-// passes without input. A caller that disconnects meanwhile cancels its requests.
-func (c *conn) linger() {
-	c.head.end()
-	for {
-		if err := c.raw.SetReadDeadline(time.Now().Add(lingerTimeout)); err != nil {
-			return
-		}
-		_, err := c.r.Discard(max(1, c.r.Buffered()))
-		if err == nil {
-			continue
-		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			return
-		}
-		select {
-		case <-c.writerDone:
-			if c.isDelivered() {
-				return
-			}
-		default:
-		}
-	}
-}
-
 // readRequest reads and starts one request and reports whether another may
 // follow.
 func (c *conn) readRequest() bool {
@@ -239,19 +214,6 @@
 	}
 }
 
-// recheckRequest checks once more for a request on a connection that is about to
-// be closed, since an expired read deadline fails a read even if input has
-// arrived.
-func (c *conn) recheckRequest() bool {
-	if err := c.raw.SetReadDeadline(time.Now().Add(recheckTimeout)); err != nil {
-		return false
-	}
-	if _, err := c.r.Peek(1); err != nil {
-		return false
-	}
-	return c.setReading()
-}
-
 // setReading records that a request has begun to arrive, so that the connection
 // is not idle. It reports false if the last answer has begun: callers take
 // what they sent behind it for not read.
@@ -275,10 +237,6 @@
 	return c.reading
 }
 
-// recheckTimeout bounds recheckRequest. It leaves time for one wake-up of the
-// reading goroutine.
-const recheckTimeout = 5 * time.Millisecond
-
 // refuseHeader answers a request whose header could not be read, unless the caller
 // has disconnected. It returns false: no request can follow.
 func (c *conn) refuseHeader(err error) bool {
@@ -375,17 +333,3 @@
 	c.acceptor.active.Add(1)
 	c.queue <- x
 }
-
-// closeIdle closes the connection if no request is pending on it or arriving, unless its end
-// has begun.
-func (c *conn) closeIdle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closeWhenIdle = true
-	if c.pending == 0 && !c.reading && !c.closing {
-		// A read deadline in the past ends the wait for the next request.
-		if err := c.raw.SetReadDeadline(time.Unix(1, 0)); err != nil {
-			c.raw.Close()
-		}
-	}
-}
