Say when to come back to callers that wait as a process ends

What callers saw: a request that had waited for a permit until its process ended got 503 without a Retry-After, though another process could take it at once. A caller then waits for as long as it thinks best.

Cause: the refusal of what is left at the end was made in another place than that of what comes late, and without the time.

Change: both are made by RefuseStopping, with Retry-After 0.050.

--- a/admitter/acquire.go
+++ b/admitter/acquire.go
@@ -165,7 +165,7 @@
 		return pimento.NotRun(pimento.ReasonTimeout, "no upstream had room before the deadline")
 	}
 	if errors.Is(context.Cause(ctx), pimento.ErrStopping) {
-		return pimento.NotRun(pimento.ReasonStopping, pimento.ErrStopping.Error())
+		return pimento.RefuseStopping(pimento.ErrStopping.Error())
 	}
 	return pimento.NotRun(pimento.ReasonCallerGone, "the caller has left")
 }
--- a/fault.go
+++ b/fault.go
@@ -200,6 +200,18 @@
 	return &OutcomeError{Outcome: OutcomeNotRun, Reason: reason, Detail: detail}
 }
 
+// stoppingRetryAfter is the time after which callers should retry that were refused because this
+// process ends. Another process can take the request at once.
+const stoppingRetryAfter = 50 * time.Millisecond
+
+// RefuseStopping returns an OutcomeError for a request that was not run because this process
+// ends.
+func RefuseStopping(detail string) *OutcomeError {
+	out := NotRun(ReasonStopping, detail)
+	out.RetryAfter = stoppingRetryAfter
+	return out
+}
+
 // Unknown returns an OutcomeError for a request that may have been run.
 func Unknown(reason Reason, detail string) *OutcomeError {
 	return &OutcomeError{Outcome: OutcomeUnknown, Reason: reason, Detail: detail}
--- a/forwarder/shutdown.go
+++ b/forwarder/shutdown.go
@@ -6,14 +6,9 @@
 	"pimentorelay.example/pimento"
 )
 
-const (
-	// endingRetryAfter is the time after which callers should retry that were refused because
-	// this process ends. Another process can take the request at once.
-	endingRetryAfter = 50 * time.Millisecond
-	// lastSendBefore is how long before the end of this process a request is last sent that
-	// may last longer than the process.
-	lastSendBefore = time.Second
-)
+// lastSendBefore is how long before the end of this process a request is last sent that may last
+// longer than the process.
+const lastSendBefore = time.Second
 
 // mayOutlast reports whether a request may last longer than this process, and when the process
 // ends the requests that are left.
@@ -29,7 +24,7 @@
 // last longer. If it were sent, its answer could be cut off.
 func (f *Forwarder) checkArrival(r *pimento.Request) error {
 	if _, ok := f.mayOutlast(r); ok {
-		return refuseForEnd("the request may last longer than this process, which is shutting down")
+		return pimento.RefuseStopping("the request may last longer than this process, which is shutting down")
 	}
 	return nil
 }
@@ -38,13 +33,7 @@
 // end: its upstream would hardly answer before.
 func (f *Forwarder) checkSend(r *pimento.Request) error {
 	if end, ok := f.mayOutlast(r); ok && time.Until(end) < lastSendBefore {
-		return refuseForEnd("the request has waited until this process is about to end")
+		return pimento.RefuseStopping("the request has waited until this process is about to end")
 	}
 	return nil
 }
-
-func refuseForEnd(detail string) *pimento.OutcomeError {
-	refusal := pimento.NotRun(pimento.ReasonStopping, detail)
-	refusal.RetryAfter = endingRetryAfter
-	return refusal
-}
