--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -35,7 +35,7 @@
 	pending       int       // requests in queue or being answered
 	reading       bool      // a request has arrived in part and is not in queue yet
 	closing       bool      // no request is read any more: the last answer has begun
-	idleSince     time.Time // when the last answer was written
+	idleSince     time.Time // when the last answer was written, or the connection opened
 	closeWhenIdle bool      // set by closeIdle
 }
 
