Give the processes of the soak loopback hosts of their own

Cause: the soak takes free ports of 127.0.0.1 for its processes, closes them, and starts the processes later. Meanwhile another listener was given the port of entry-3, which then answered in its place.

Evidence: the log of entry-3 has one line, "listen tcp 127.0.0.1:40499: bind: address already in use". The text of the 404 is that of Go's ServeMux, which stand-ins and the operators' ports of other processes have; whose it was is not known.

Change: each process has a random loopback host, which stand-ins and other programs do not listen on. No check and no bound of the soak has changed.

--- a/soak/entry.go
+++ b/soak/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
@@ -26,9 +27,16 @@
 	starts int
 }
 
-// freePort returns an unused loopback address.
-func freePort() (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// randomHost returns a loopback address that hardly any other program uses. A port of 127.0.0.1
+// that was free may belong to a stand-in or to another program when the process binds it, at
+// its start or again after a restart.
+func randomHost() netip.Addr {
+	return netip.AddrFrom4([4]byte{127, byte(1 + rand.N(250)), byte(1 + rand.N(250)), byte(1 + rand.N(250))})
+}
+
+// freePort returns an unused address of a host.
+func freePort(host netip.Addr) (netip.AddrPort, error) {
+	l, err := net.Listen("tcp", netip.AddrPortFrom(host, 0).String())
 	if err != nil {
 		return netip.AddrPort{}, err
 	}
@@ -38,8 +46,9 @@
 
 func newEntry(i, domains int) (*entry, error) {
 	e := &entry{name: fmt.Sprintf("entry-%d", i), domain: fmt.Sprintf("d%d", i%domains)}
+	host := randomHost()
 	for _, field := range []*netip.AddrPort{&e.peer, &e.caller, &e.operator} {
-		address, err := freePort()
+		address, err := freePort(host)
 		if err != nil {
 			return nil, err
 		}
