Run the leader's loop without timers that have channels

Cause: in Go 1.26, a goroutine that reads the channel of a timer which is due and not in the heap runs that timer itself (maybeRunChan in runtime/time.go). In a bubble of testing/synctest all of them use one race context of the bubble, at once, and so break its stack of calls. The simulations of the leader run some leaders in one bubble, each with a ticker and a timer.

Evidence: the registers of the crash say that sanitizer::StackDepot hashed a stack of 0xfffffffe entries, for a goroutine that time.goFunc starts.

Change: the pace of the loop has one timer that calls a function, and stores the time of the next tick. It steps when it did before; TestStepsWithoutMessages says so and passes on the code before too.

Other channels of timers are read in bubbles (admitter.Run, the confirmer of package router), with little work; no crash was seen there.

--- a/leader/pace.go
+++ b/leader/pace.go
@@ -19,25 +19,33 @@
 )
 
 // pace spaces the steps of the state machines, so that handling messages has its share
-// of the processor.
+// of the processor. Its timer calls a function and has no channel: who reads such a
+// channel may run the timer, and where several goroutines in a bubble of
+// testing/synctest do that at once, the race detector of Go 1.26 crashes.
 type pace struct {
-	notBefore time.Time   // the next step
-	wake      *time.Timer // fires at notBefore if a step is wanted sooner
+	notBefore time.Time // the next step
+	nextTick  time.Time // a step that no message asks for
+	wake      chan struct{}
+	timer     *time.Timer // sends to wake at nextTick, or at notBefore if that comes first
 }
 
-func newPace() *pace {
-	p := &pace{wake: time.NewTimer(time.Hour)}
-	p.wake.Stop()
+func newPace(now time.Time) *pace {
+	p := &pace{nextTick: now.Add(stepInterval), wake: make(chan struct{}, 1)}
+	p.timer = time.AfterFunc(stepInterval, func() {
+		select {
+		case p.wake <- struct{}{}:
+		default:
+		}
+	})
 	return p
 }
 
-// allows reports whether a step may begin now. If not, wake fires when one may.
+// allows reports whether a step may begin now. If not, wake receives when one may.
 func (p *pace) allows(now time.Time) bool {
 	if now.Before(p.notBefore) {
-		p.wake.Reset(p.notBefore.Sub(now))
+		p.timer.Reset(p.notBefore.Sub(now))
 		return false
 	}
-	p.wake.Stop()
 	return true
 }
 
@@ -45,15 +53,17 @@
 func (p *pace) took(began, ended time.Time) {
 	pause := min(max(minStepPause, stepPauseFactor*ended.Sub(began)), stepInterval)
 	p.notBefore = ended.Add(pause)
+	if late := began.Sub(p.nextTick); late >= 0 {
+		p.nextTick = p.nextTick.Add(late.Truncate(stepInterval) + stepInterval)
+	}
+	p.timer.Reset(p.nextTick.Sub(ended))
 }
 
 // run handles messages and steps until ctx ends. The messages that wait are handled
 // before a step: its cost grows with the keys and members, theirs does not.
 func (l *Leader) run(ctx context.Context) error {
-	ticker := time.NewTicker(stepInterval)
-	defer ticker.Stop()
-	p := newPace()
-	defer p.wake.Stop()
+	p := newPace(time.Now())
+	defer p.timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -62,8 +72,7 @@
 			do()
 			l.updateRole(ctx)
 			l.handleWaiting(ctx)
-		case <-ticker.C:
-		case <-p.wake.C:
+		case <-p.wake:
 		}
 		if began := time.Now(); p.allows(began) {
 			l.step(ctx)
--- a/leader/pace_test.go
+++ b/leader/pace_test.go
@@ -85,6 +85,52 @@
 	})
 }
 
+// TestLeadersInOneBubble guards against a crash of the race detector, which ends the
+// simulations: goroutines that run timers of channels at once break its stack of calls.
+func TestLeadersInOneBubble(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		restore := timekeeper.SetClock(time.Now)
+		defer restore()
+		const leaders, duration = 16, time.Minute
+		ctx, cancel := context.WithCancel(t.Context())
+		for range leaders {
+			l, _ := newPacedTest(t)
+			go l.run(ctx)
+			var post func()
+			post = func() {
+				if ctx.Err() != nil {
+					return
+				}
+				time.AfterFunc(minStepPause, post)
+				l.post(ctx, func() {})
+			}
+			post()
+		}
+		time.Sleep(duration)
+		cancel()
+		time.Sleep(minStepPause)
+		synctest.Wait()
+	})
+}
+
+// TestStepsWithoutMessages guards against a leader that steps only when it is asked to,
+// and against one that drifts from its interval.
+func TestStepsWithoutMessages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		restore := timekeeper.SetClock(time.Now)
+		defer restore()
+		l, member := newPacedTest(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		go l.run(ctx)
+		const steps, callsPerStep = 50, 2
+		time.Sleep(steps*stepInterval + time.Millisecond)
+		synctest.Wait()
+		cancel()
+		synctest.Wait()
+		is.New(t).Equal(member.steps, steps*callsPerStep)
+	})
+}
+
 func TestPace(t *testing.T) {
 	at := time.Now()
 	for _, c := range []struct {
@@ -98,8 +144,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			p := newPace()
-			defer p.wake.Stop()
+			p := newPace(at)
+			defer p.timer.Stop()
 			ended := at.Add(c.took)
 			p.took(at, ended)
 			is.True(!p.allows(ended.Add(c.pause - time.Nanosecond)))
