Start the paced loop of three tests in one place

Cause: TestStepsWithoutMessages repeated the start of two tests beside it.

Change: runPaced starts the loop in a bubble and ends it; the checks and bounds are the same, and stand before the loop ends, after synctest.Wait.

--- a/leader/pace_test.go
+++ b/leader/pace_test.go
@@ -24,6 +24,9 @@
 	return c.fixedMember.Versions()
 }
 
+// callsPerStep is how often a step of a paced test calls Versions.
+const callsPerStep = 2
+
 // newPacedTest returns a leader that only steps and handles messages.
 func newPacedTest(t *testing.T) (*Leader, *stepCounter) {
 	t.Helper()
@@ -35,15 +38,25 @@
 	return l, member
 }
 
-// TestMessagesShareStep guards against a leader that is too slow to lead since it does
-// all of its periodic work after every message.
-func TestMessagesShareStep(t *testing.T) {
+// runPaced runs the loop of such a leader in a bubble while test runs.
+func runPaced(t *testing.T, test func(ctx context.Context, l *Leader, member *stepCounter)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		restore := timekeeper.SetClock(time.Now)
 		defer restore()
 		l, member := newPacedTest(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		go l.run(ctx)
+		test(ctx, l, member)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestMessagesShareStep guards against a leader that is too slow to lead since it does
+// all of its periodic work after every message.
+func TestMessagesShareStep(t *testing.T) {
+	runPaced(t, func(ctx context.Context, l *Leader, member *stepCounter) {
 		const duration, messages = 200 * time.Millisecond, 800
 		handled := 0
 		for range messages {
@@ -51,11 +64,7 @@
 			time.Sleep(duration / messages)
 		}
 		synctest.Wait()
-		cancel()
-		synctest.Wait()
-		is := is.New(t)
-		is.Equal(handled, messages)
-		callsPerStep := 2
+		is.New(t).Equal(handled, messages)
 		if most := callsPerStep * int(duration/minStepPause+1); member.steps > most {
 			t.Errorf("%d calls by steps within %s, want at most %d", member.steps, duration, most)
 		}
@@ -64,12 +73,7 @@
 
 // TestStepFollowsMessageSoon guards against keys that are free and wait for a step.
 func TestStepFollowsMessageSoon(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		restore := timekeeper.SetClock(time.Now)
-		defer restore()
-		l, member := newPacedTest(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		go l.run(ctx)
+	runPaced(t, func(ctx context.Context, l *Leader, member *stepCounter) {
 		time.Sleep(stepInterval + time.Millisecond)
 		for range 20 {
 			var before int
@@ -80,8 +84,17 @@
 				t.Fatalf("no step within %s of a message", minStepPause)
 			}
 		}
-		cancel()
+	})
+}
+
+// TestStepsWithoutMessages guards against a leader that steps only when it is asked to,
+// and against one that drifts from its interval.
+func TestStepsWithoutMessages(t *testing.T) {
+	runPaced(t, func(_ context.Context, _ *Leader, member *stepCounter) {
+		const steps = 50
+		time.Sleep(steps*stepInterval + time.Millisecond)
 		synctest.Wait()
+		is.New(t).Equal(member.steps, steps*callsPerStep)
 	})
 }
 
@@ -113,24 +126,6 @@
 	})
 }
 
-// TestStepsWithoutMessages guards against a leader that steps only when it is asked to,
-// and against one that drifts from its interval.
-func TestStepsWithoutMessages(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		restore := timekeeper.SetClock(time.Now)
-		defer restore()
-		l, member := newPacedTest(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		go l.run(ctx)
-		const steps, callsPerStep = 50, 2
-		time.Sleep(steps*stepInterval + time.Millisecond)
-		synctest.Wait()
-		cancel()
-		synctest.Wait()
-		is.New(t).Equal(member.steps, steps*callsPerStep)
-	})
-}
-
 func TestPace(t *testing.T) {
 	at := time.Now()
 	for _, c := range []struct {
