Reproduce an answer that is lost while its connection makes room (red)

What callers see: at the bound of connections, the idlest one is closed for a new one. If its last answer was written and is still on its way on a slow line, and the caller sends its next request meanwhile, the close resets the connection and the rest of the answer is lost (LOST).

--- a/acceptor/delivery_test.go
+++ b/acceptor/delivery_test.go
@@ -85,3 +85,26 @@
 		})
 	}
 }
+
+// TestAnswerOnASlowLineWhileRoomIsMade guards against the same where another connection takes the
+// place of this one.
+func TestAnswerOnASlowLineWhileRoomIsMade(t *testing.T) {
+	is := is.New(t)
+	text := strings.Repeat("x", 200<<10)
+	h := &longHandler{started: make(chan string, 8), begin: make(chan struct{}), length: int64(len(text)), body: io.NopCloser(strings.NewReader(text))}
+	a, _, dial := startAcceptor(t, pimento.Limits{}, func(a *Acceptor) { a.Handler, a.MaxConnections = h, 1 })
+	c := dialSlow(t, dial().RemoteAddr())
+	io.WriteString(c, getRequest("/long"))
+	<-h.started
+	close(h.begin)
+	await(t, "the answer is written", func() bool { return a.Active() == 0 })
+	is.True(a.IsDelivering())
+	dial()
+	time.Sleep(50 * time.Millisecond)
+	io.WriteString(c, getRequest("/next"))
+	time.Sleep(50 * time.Millisecond)
+
+	_, got, err := readAnswer(t, bufio.NewReader(c), "GET")
+	is.NoErr(err)
+	is.Equal(len(got), len(text))
+}
