Wait in a test until a held call can be answered

Cause: the test waits until the receiver has announced the first call, and then answers it; the receiver notes how to answer only after it has announced it. The other tests wait for that with waitReplies, this one did for its second call only.

Change: it waits for its first call too; all checks are the same.

--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -495,6 +495,7 @@
 
 			_, err := m.Call(ctx, to, bad)
 			is.True(m.Send(ctx, to, bad) != nil)
+			h.waitReplies(1)
 			h.reply(0)(&Message{Vote: &Vote{Epoch: 7}})
 			got := waitFor(t, first)
 			is.NoErr(got.err)
