Say when the timer of the pace fires

Cause: its comment said "if that comes first", but a tick that is not allowed waits for notBefore, which is later then.

Change: the comment.

--- a/leader/pace.go
+++ b/leader/pace.go
@@ -26,7 +26,7 @@
 	notBefore time.Time // the next step
 	nextTick  time.Time // a step that no message asks for
 	wake      chan struct{}
-	timer     *time.Timer // sends to wake at nextTick, or at notBefore if that comes first
+	timer     *time.Timer // sends to wake at nextTick, or at notBefore once a step was not allowed
 }
 
 func newPace(now time.Time) *pace {
