review/11: an entry of another writer is used

The third review's first case: an entry under the kind servers that lacks version and born names no instance to use by the pages, but its server gets orders and runs them, though its service is in no manifest (ROUTE).

--- /dev/null
+++ b/review/stand3/plays.go
@@ -0,0 +1,143 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	orders  = "partsdesk" // orders of parts, which may run once at most
+	staging = "staging"   // in no manifest
+)
+
+// settle is how long the processes have to read what was written to the store.
+const settle = 4 * time.Second
+
+// playForeignEntry lets another writer put an entry among those of the instances, which
+// lacks the fields version and born. By the pages it names no instance to use.
+func playForeignEntry(ctx context.Context, f *fleet, trouble bool) (bool, error) {
+	f.putManifest(map[string]string{orders: "non_idempotent"})
+	for n := range 3 {
+		if _, err := f.startInstance(fmt.Sprintf("i-%d", n+1), orders, "ub-bayangol", true); err != nil {
+			return false, err
+		}
+	}
+	other, err := f.startInstance("i-staging", staging, "ub-bayangol", false)
+	if err != nil {
+		return false, err
+	}
+	if err := f.startAll(ctx); err != nil {
+		return false, err
+	}
+	time.Sleep(settle)
+	if trouble {
+		f.store.Put("servers", other.id, map[string]any{
+			"service": orders, "address": other.address, "zone": "ub-bayangol", "max_concurrency": 4, "state": "ready", "warmup_left_s": 0, "seq": 1,
+		})
+		f.note("another writer puts the entry servers/%s, without version and born", other.id)
+	}
+	time.Sleep(settle)
+	served, foreign := 0, 0
+	for range 60 {
+		for _, p := range f.processes {
+			a := f.newConsumer(p).send(ctx, http.MethodPost, orders, "new", []byte("one crate"))
+			if a.status == http.StatusOK {
+				served++
+			}
+			if other.ran(a.id) > 0 {
+				foreign++
+			}
+		}
+		time.Sleep(30 * time.Millisecond)
+	}
+	f.note("%d of 180 orders served, %d run by the service %s", served, foreign, staging)
+	if served < 90 {
+		return false, fmt.Errorf("only %d of 180 orders were served", served)
+	}
+	return foreign > 0, nil
+}
+
+// consumersOfOne are the consumers of each process: together they keep all instances busy.
+const consumersOfOne = 12
+
+// greyFor is how long instances fail, as long as the site file says at most.
+const greyFor = 6 * time.Second
+
+// playOwnFailure lets one of eight instances fail a part of the orders that it has run, with
+// a status of its own and without the header that says that nothing was run. Consumers
+// repeat what was answered with a promise, as the pages say.
+func playOwnFailure(ctx context.Context, f *fleet, trouble bool) (bool, error) {
+	f.putManifest(map[string]string{orders: "non_idempotent"})
+	var grey atomic.Bool
+	for n := range 8 {
+		i, err := f.startInstance(fmt.Sprintf("i-%d", n+1), orders, "ub-bayangol", true)
+		if err != nil {
+			return false, err
+		}
+		i.work = 60 * time.Millisecond
+		if n == 0 { // a share of 0.14 of eight
+			i.fail = func() int {
+				if grey.Load() && rand.Float64() < 0.45 {
+					return http.StatusServiceUnavailable
+				}
+				return 0
+			}
+		}
+	}
+	if err := f.startAll(ctx); err != nil {
+		return false, err
+	}
+	time.Sleep(settle)
+	grey.Store(trouble)
+	until := time.Now().Add(greyFor)
+	var served, promised, twice atomic.Int64
+	var group sync.WaitGroup
+	for _, p := range f.processes {
+		for range consumersOfOne {
+			group.Go(func() {
+				c := f.newConsumer(p)
+				for time.Now().Before(until) && ctx.Err() == nil {
+					runs := 0
+					for range 2 {
+						a := c.send(ctx, http.MethodPost, orders, "new", []byte("one crate"))
+						ran := f.timesRun(a.id)
+						runs += ran
+						if a.status == http.StatusOK {
+							served.Add(1)
+						}
+						if !isPromise(a.status) {
+							break
+						}
+						if ran > 0 {
+							promised.Add(1)
+							f.note("request %s was answered %d and has run", a.id, a.status)
+						}
+					}
+					if runs > 1 {
+						twice.Add(1)
+					}
+				}
+			})
+		}
+	}
+	group.Wait()
+	f.note("%d orders served, %d attempts answered as not run that have run, %d orders carried out twice as their consumers repeated them", served.Load(), promised.Load(), twice.Load())
+	if served.Load() < 100 {
+		return false, fmt.Errorf("only %d orders were served", served.Load())
+	}
+	return promised.Load() > 0, nil
+}
+
+// isPromise reports whether a status promises that the request has not run and never will.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
