--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves out the disturbance.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/relay ] && [ -x target/stand3 ] || exit 2
-exec target/stand3 --case foreign-entry --relay target/relay --record review/11/record.txt
+exec target/stand3 --case older-copy --relay target/relay --record review/11/record.txt
