--- a/review/stand3/fleet.go
+++ b/review/stand3/fleet.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -28,8 +27,7 @@
 	network   string
 	drain     time.Duration // drain_s of the settings
 	work      time.Duration // how long instances take for a request
-	storeAddr string
-	server    *http.Server
+	keyed     bool          // services are divided by key
 	processes []*process
 	instances []*instance
 	stop      context.CancelFunc
@@ -47,6 +45,7 @@
 	name  string
 	ip    string
 	zone  string
+	store *gate
 	front string
 	ready string
 	cmd   *exec.Cmd
@@ -73,13 +72,6 @@
 		network: fmt.Sprintf("127.%d.%d", 1+rand.N(250), rand.N(250)),
 	}
 	f.ctx, f.stop = context.WithCancel(context.Background())
-	l, err := net.Listen("tcp", f.network+".1:0")
-	if err != nil {
-		return nil, err
-	}
-	f.storeAddr = l.Addr().String()
-	f.server = &http.Server{Handler: f.store, ReadHeaderTimeout: 5 * time.Second}
-	go f.server.Serve(l)
 	return f, nil
 }
 
@@ -124,6 +116,11 @@
 func (f *fleet) start(name, zone string) (*process, error) {
 	ip := fmt.Sprintf("%s.%d", f.network, 10+len(f.processes))
 	p := &process{name: name, ip: ip, zone: zone, front: ip + ":8548", ready: ip + ":8542"}
+	gate, err := f.newGate()
+	if err != nil {
+		return nil, err
+	}
+	p.store = gate
 	path, err := f.writeSettings(p)
 	if err != nil {
 		return nil, err
@@ -147,7 +144,7 @@
 // writeSettings writes the settings file of a process and returns its path.
 func (f *fleet) writeSettings(p *process) (string, error) {
 	path := filepath.Join(f.dir, p.name+".yaml")
-	text := fmt.Sprintf(settings, p.name, p.ip, p.zone, p.front, p.ready, f.storeAddr, f.drain.Seconds())
+	text := fmt.Sprintf(settings, p.name, p.ip, p.zone, p.front, p.ready, p.store.address, f.drain.Seconds())
 	return path, os.WriteFile(path, []byte(text), 0o600)
 }
 
@@ -198,14 +195,14 @@
 	var routes, services [][]any
 	for service, kind := range kinds {
 		routes = append(routes, []any{"r-" + service, service + ".example", "/" + service + "/", kind, 2.5, 0.8, 1, service, 2})
-		services = append(services, []any{service, "/healthz", 110, 3.0, 5.0})
+		services = append(services, []any{service, "/healthz", 110, 3.0, 5.0, f.keyed, 3.0})
 	}
 	f.store.Put("config", "main", map[string]any{
 		"version": "00000007",
 		"routes": map[string]any{
 			"columns": []string{"name", "host", "path_prefix", "kind", "timeout_s", "target_latency_s", "priority", "service", "max_attempts"}, "rows": routes,
 		},
-		"services": map[string]any{"columns": []string{"name", "health_path", "max_conns", "warmup_s", "warmup_per_s"}, "rows": services},
+		"services": map[string]any{"columns": []string{"name", "health_path", "max_conns", "warmup_s", "warmup_per_s", "sharded", "warm_s"}, "rows": services},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_s": 3, "idle_timeout_s": 15},
 	})
 	f.note("manifest written: %v", kinds)
@@ -225,7 +222,9 @@
 	for _, i := range f.instances {
 		i.server.Close()
 	}
-	f.server.Close()
+	for _, p := range f.processes {
+		p.store.server.Close()
+	}
 	f.record.Close()
 	os.RemoveAll(f.dir)
 }
--- a/review/stand3/instance.go
+++ b/review/stand3/instance.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -26,7 +27,9 @@
 	slots   chan struct{}
 	// fail returns the status of the failure with which a run ends, zero if it succeeds;
 	// nil: all succeed.
-	fail func() int
+	fail    func() int
+	keys    keys // if the service is divided by key
+	refused int  // grants, for a higher fence; guarded by keys.mu
 
 	mu   sync.Mutex
 	runs map[string]int // by attempt ID
@@ -49,6 +52,8 @@
 	i.address = l.Addr().String()
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", i.health)
+	mux.HandleFunc("POST /pimentorelay/grant", i.grant)
+	mux.HandleFunc("POST /pimentorelay/release", i.release)
 	mux.HandleFunc("/", i.handle)
 	i.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
 	go i.server.Serve(l)
@@ -162,6 +167,15 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if i.fleet.keyed {
+		key, err := strconv.Atoi(r.Header.Get("Pimentorelay-Shard-Key"))
+		if err != nil || key < 0 || key >= allKeys || !i.begin(key) {
+			w.Header().Set("Pimentorelay-Not-Executed", "1")
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		defer i.end(key)
+	}
 	i.slots <- struct{}{}
 	defer func() { <-i.slots }()
 	io.Copy(io.Discard, r.Body)
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -36,6 +36,7 @@
 	"foreign-entry": playForeignEntry,
 	"own-failure":   playOwnFailure,
 	"shorter-drain": playShorterDrain,
+	"older-copy":    playCopy,
 }
 
 func main() {
--- a/review/stand3/plays.go
+++ b/review/stand3/plays.go
@@ -8,6 +8,9 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/storefaker"
 )
 
 const (
@@ -210,3 +213,83 @@
 	}
 	return late > 0, nil
 }
+
+const (
+	guides = "guidebook" // views of guides, divided by key
+	// turnedAway is how long the store turns the machine of the leader away, as long as the
+	// site file says.
+	turnedAway = 7 * time.Second
+	// away is the moment for which the store is away before it comes back from a copy.
+	away = 500 * time.Millisecond
+)
+
+// playCopy restores the store from a copy of some seconds ago, turns the machine that leads
+// away from it, and adds a machine.
+func playCopy(ctx context.Context, f *fleet, trouble bool) (bool, error) {
+	f.keyed = true
+	f.putManifest(map[string]string{guides: "idempotent"})
+	for _, id := range []string{"i-2", "i-3", "i-4"} {
+		if _, err := f.startInstance(id, guides, "ub-bayangol", true); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(settle)
+	copied := time.Now()
+	first, err := f.start("edge-ub-bayangol-1", "ub-bayangol")
+	if err != nil {
+		return false, err
+	}
+	time.Sleep(2 * time.Second)
+	// One more instance is added, so that keys lie otherwise than a new leader would put them.
+	if _, err := f.startInstance("i-1", guides, "ub-bayangol", true); err != nil {
+		return false, err
+	}
+	time.Sleep(settle)
+	f.note("%d keys are held", f.heldKeys())
+	if f.heldKeys() < allKeys {
+		return false, fmt.Errorf("only %d keys are held before the disturbance", f.heldKeys())
+	}
+	if trouble {
+		first.store.silent.Store(true)
+		f.note("the store is away, and turns %s away for %v", first.name, turnedAway)
+		time.AfterFunc(turnedAway, func() { first.store.silent.Store(false) })
+		time.Sleep(away)
+		age := time.Since(copied) + 100*time.Millisecond
+		f.store.Restore(storefaker.Copy{Age: pimento.Span(age)})
+		f.note("the store is back from a copy that is %.1f s old", age.Seconds())
+		for _, i := range f.instances {
+			i.register()
+		}
+	}
+	second, err := f.start("edge-ub-khanuul-1", "ub-khanuul")
+	if err != nil {
+		return false, err
+	}
+	var d doubles
+	for end := time.Now().Add(12 * time.Second); time.Now().Before(end) && ctx.Err() == nil; {
+		d.check(f)
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.note("%d keys are held at the end; at most %d keys have had two holders for over %v, the longest time is %v", f.heldKeys(), d.most, mayOverlap, d.longest.Round(time.Millisecond))
+	if !first.isReady() || !second.isReady() {
+		return false, fmt.Errorf("a process is not ready at the end")
+	}
+	return d.most > 0, nil
+}
+
+// heldKeys returns how many keys some instance holds.
+func (f *fleet) heldKeys() int {
+	held := make([]bool, allKeys)
+	n := 0
+	for _, i := range f.instances {
+		i.keys.mu.Lock()
+		for key := range allKeys {
+			if !held[key] && i.keys.holds(key, time.Now()) {
+				held[key] = true
+				n++
+			}
+		}
+		i.keys.mu.Unlock()
+	}
+	return n
+}
