--- a/review/stand3/consumer.go
+++ b/review/stand3/consumer.go
@@ -39,6 +39,9 @@
 	req.Host = service + ".example"
 	req.Header.Set("Pimentorelay-Attempt-Id", a.id)
 	req.Header.Set("Pimentorelay-Deadline-Ms", "5000")
+	if c.fleet.keyed {
+		req.Header.Set("Pimentorelay-Shard-Key", path)
+	}
 	res, err := c.client.Do(req)
 	if err != nil {
 		a.err = err
--- a/review/stand3/fleet.go
+++ b/review/stand3/fleet.go
@@ -34,6 +34,7 @@
 	ctx       context.Context
 
 	closeOnce sync.Once
+	doubles   doubles
 
 	mu     sync.Mutex
 	record *os.File
--- a/review/stand3/instance.go
+++ b/review/stand3/instance.go
@@ -175,6 +175,7 @@
 			return
 		}
 		defer i.end(key)
+		i.fleet.doubles.note(i.fleet, i, key)
 	}
 	i.slots <- struct{}{}
 	defer func() { <-i.slots }()
--- a/review/stand3/keys.go
+++ b/review/stand3/keys.go
@@ -132,6 +132,42 @@
 	// longest is the longest time for which a key has had two.
 	longest time.Duration
 	most    int // keys with two holders for longer than mayOverlap, at one moment
+
+	mu    sync.Mutex
+	begun map[int]map[string]bool // instances that have begun requests, by key with two holders
+	both  int                     // keys on which two holders have begun requests in that time
+}
+
+// note notes that an instance begins a request on a key.
+func (d *doubles) note(f *fleet, by *instance, key int) {
+	now := time.Now()
+	shared := false
+	for _, i := range f.instances {
+		if i == by {
+			continue
+		}
+		i.keys.mu.Lock()
+		shared = shared || i.keys.holds(key, now)
+		i.keys.mu.Unlock()
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !shared {
+		return
+	}
+	if d.begun == nil {
+		d.begun = make(map[int]map[string]bool)
+	}
+	if d.begun[key] == nil {
+		d.begun[key] = make(map[string]bool)
+	}
+	if !d.begun[key][by.id] {
+		d.begun[key][by.id] = true
+		if len(d.begun[key]) == 2 {
+			d.both++
+			f.note("two holders of key %d have begun requests on it, the second is %s", key, by.id)
+		}
+	}
 }
 
 // check notes the keys that have two holders now.
--- a/review/stand3/plays.go
+++ b/review/stand3/plays.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -219,6 +220,8 @@
 	// turnedAway is how long the store turns the machine of the leader away, as long as the
 	// site file says.
 	turnedAway = 7 * time.Second
+	// keyStep is the distance of the keys that are asked for.
+	keyStep = 2048
 	// away is the moment for which the store is away before it comes back from a copy.
 	away = 500 * time.Millisecond
 )
@@ -265,16 +268,19 @@
 	if err != nil {
 		return false, err
 	}
-	var d doubles
+	d := &f.doubles
+	served, stop := f.askForKeys(ctx)
 	for end := time.Now().Add(12 * time.Second); time.Now().Before(end) && ctx.Err() == nil; {
 		d.check(f)
 		time.Sleep(20 * time.Millisecond)
 	}
-	f.note("%d keys are held at the end; at most %d keys have had two holders for over %v, the longest time is %v", f.heldKeys(), d.most, mayOverlap, d.longest.Round(time.Millisecond))
+	stop()
+	f.note("%d requests were served; %d keys are held at the end; at most %d keys have had two holders for over %v, the longest time is %v; two holders have begun requests on %d keys in that time",
+		served.Load(), f.heldKeys(), d.most, mayOverlap, d.longest.Round(time.Millisecond), d.both)
 	if !first.isReady() || !second.isReady() {
 		return false, fmt.Errorf("a process is not ready at the end")
 	}
-	return d.most > 0, nil
+	return d.both > 0 && d.most > 0, nil
 }
 
 // heldKeys returns how many keys some instance holds.
@@ -293,3 +299,28 @@
 	}
 	return n
 }
+
+// askForKeys lets consumers ask all processes for many keys in turn until stop is called, and
+// counts what is served.
+func (f *fleet) askForKeys(ctx context.Context) (served *atomic.Int64, stop func()) {
+	served = &atomic.Int64{}
+	ctx, cancel := context.WithCancel(ctx)
+	var group sync.WaitGroup
+	for _, p := range f.processes {
+		for n := range 2 {
+			group.Go(func() {
+				c := f.newConsumer(p)
+				for key := n * keyStep / 2; ctx.Err() == nil; key = (key + keyStep) % allKeys {
+					if a := c.send(ctx, http.MethodGet, guides, strconv.Itoa(key), nil); a.status == http.StatusOK {
+						served.Add(1)
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+			})
+		}
+	}
+	return served, func() {
+		cancel()
+		group.Wait()
+	}
+}
