Revoke what unknown leaders have granted after a restore

What callers saw: the store came back from a copy of some seconds ago and turned the leader's process away.

Cause: a leader may act for 20 s after the store last showed its term. A new one waits for that time only if it cannot reach most confirmers of the terms that it knows, and a copy may lack the latest term: none is known, or only an older one. The assignment is then marked as restored, but the time that its keys wait still came from the known terms, 0.93 s after the election.

Change: an assignment that is restored from a copy has a fence for revocations. The leader releases all keys of a service at all of its upstreams under that fence, 2.3 s after the store is back, when all upstreams are listed again, and grants keys once all have answered. If one does not answer, they wait until every leader that the store does not show has stopped. The next leader of an assignment that is still restored begins anew with fences of its own. An assignment that was handed over counts as the newest after a restore only if most confirmers of its term vote.

Why it works: a release is never refused, is answered once work on the keys has ended, and an upstream refuses grants under a lower fence than it has seen. So no grant of an earlier leader is in force after the answers, whoever that leader is.

The tests of leader, keeper, elector, router and assembler pass.

--- a/assignment.go
+++ b/assignment.go
@@ -28,6 +28,9 @@
 	// Restored means that the tables come from such a copy: until the grants of all
 	// earlier leaders have expired, other upstreams may hold any keys.
 	Restored bool `json:",omitempty"`
+	// RevokeFence is above the fences of all terms before the one that set Restored, and
+	// below those of that term.
+	RevokeFence uint64 `json:",omitempty"`
 }
 
 const (
@@ -68,12 +71,14 @@
 }
 
 // RestoreFromCopy makes an assignment out of one that may be older than the newest:
-// what it says of holders counts only once all grants of earlier leaders have expired.
+// what it says of holders counts only once all grants of earlier leaders have ended.
 // Its term must be the new one, and its Era the present one.
 func (a *Assignment) RestoreFromCopy() {
 	a.Restored = true
 	base := (a.WrittenIn() - firstEra) * epochsPerEra
 	a.NextFence = max(a.NextFence, (a.WrittenIn()-firstEra)*fencesPerEra+(a.Term.Epoch-min(a.Term.Epoch, base))*fencesPerEpoch)
+	a.RevokeFence = a.NextFence
+	a.NextFence++
 	for i := range a.Tables {
 		for j := range a.Tables[i].Holdings {
 			h := &a.Tables[i].Holdings[j]
--- a/elector/machine.go
+++ b/elector/machine.go
@@ -232,13 +232,28 @@
 	if !m.IsLeader() {
 		return time.Time{}, false
 	}
-	last := m.electedAt.Add(m.timing.MaxWithoutStore + m.timing.Lease + 2*m.timing.Drift)
+	last := m.lastSettledAt()
 	if m.settledAt.IsZero() || last.Before(m.settledAt) {
 		return last, true
 	}
 	return m.settledAt, true
 }
 
+// UnknownSettledAt is like [Machine.SettledAt] if the term may not name all earlier ones:
+// only the time for which a leader may act without the store ends their authority.
+func (m *Machine) UnknownSettledAt() (time.Time, bool) {
+	if !m.IsLeader() {
+		return time.Time{}, false
+	}
+	return m.lastSettledAt(), true
+}
+
+// lastSettledAt returns when leaders that the store has not shown since the election have
+// stopped.
+func (m *Machine) lastSettledAt() time.Time {
+	return m.electedAt.Add(m.timing.MaxWithoutStore + m.timing.Lease + 2*m.timing.Drift)
+}
+
 // GrantsVote reports whether this process votes for a candidate for the epoch
 // after the given one: it knows no later epoch, and has no leader that sends
 // heartbeats and reaches the store.
--- a/event.go
+++ b/event.go
@@ -54,6 +54,7 @@
 	EventGrantFailed       EventNumber = 4007
 	EventReleased          EventNumber = 4008
 	EventKeysMoved         EventNumber = 4009
+	EventKeysRegained      EventNumber = 4010
 	EventRequestUnknown    EventNumber = 6001
 	EventRequestNotRun     EventNumber = 6002
 	EventRequestAnswered   EventNumber = 6003
@@ -113,6 +114,7 @@
 	EventGrantFailed:       "grant of keys failed",
 	EventReleased:          "release of keys ended",
 	EventKeysMoved:         "keys go to another upstream",
+	EventKeysRegained:      "no earlier leader can have granted keys",
 	EventRequestUnknown:    "request ended with unknown outcome",
 	EventRequestNotRun:     "request was not run",
 	EventRequestAnswered:   "request was answered",
--- a/keeper/machine.go
+++ b/keeper/machine.go
@@ -11,8 +11,10 @@
 //   - the last grant that may have reached the former holder has expired, and
 //     so has any grant of an earlier leader.
 //
-// Where the assignment was restored from a copy, former holders are not known, and only
-// the last of these counts.
+// Where the assignment was restored from a copy, former holders are not known, nor all
+// earlier leaders. Then keys are granted once every upstream of the service has released all
+// of its keys under a fence above those of all earlier leaders, or, if one does not answer,
+// once the grants of any earlier leader have expired.
 //
 // The assignment is written to the store before any of these calls is made, so
 // a later leader finds in it every move that may be in progress.
@@ -83,6 +85,9 @@
 	Authority time.Time
 	// Settled is when the authority of every earlier leader has lapsed.
 	Settled time.Time
+	// Upstreams returns the runs that may have keys of a service by grants of leaders that
+	// are not known, false while not all of them are known. It may be nil: they never are.
+	Upstreams func(pimento.ServiceName) ([]pimento.Run, bool)
 	// Ended reports whether a run has ended for certain.
 	Ended func(pimento.Run) bool
 	// AddressKnown reports whether the address of a run is known.
@@ -99,6 +104,7 @@
 const (
 	CallGrant   CallKind = "Grant"
 	CallRelease CallKind = "Release"
+	CallRevoke  CallKind = "Revoke" // a release of all keys of the service
 )
 
 // Call is a call that is due to an upstream.
@@ -106,7 +112,7 @@
 	Kind    CallKind
 	Service pimento.ServiceName
 	Run     pimento.Run
-	Grant   pimento.KeyGrant // a release uses Range and Fence
+	Grant   pimento.KeyGrant // a release and a revocation use Range and Fence
 	// ValidUntil is until when the holder certainly has the keys of a grant; zero: it
 	// does not have them yet.
 	ValidUntil time.Time
@@ -170,9 +176,10 @@
 
 // Machine is the grant state of one leader. It is not safe for concurrent use.
 type Machine struct {
-	timing Timing
-	rows   []*row
-	runs   map[runKey]*reachability
+	timing      Timing
+	rows        []*row
+	runs        map[runKey]*reachability
+	revocations revocations
 }
 
 // New returns a machine without keys.
@@ -187,6 +194,7 @@
 // this leader. Holdings with an unchanged fence, also pieces of a split holding,
 // keep their state.
 func (m *Machine) Adopt(now time.Time, a *pimento.Assignment) {
+	m.revocations.adopt(a)
 	var next []*row
 	for _, t := range a.Tables {
 		for _, h := range t.Holdings {
@@ -226,7 +234,7 @@
 // have them. If the assignment was restored from a copy, a holder that it does not
 // name may still have the keys.
 func (m *Machine) adoptHolding(now time.Time, service pimento.ServiceName, h pimento.Holding, restored bool) *row {
-	free := h.Former.IsZero() && !restored
+	free := h.Former.IsZero() && (!restored || m.Revoked(service))
 	next := &row{service: service, holding: h, freed: free, grantAt: now}
 	before := m.overlapping(service, h.KeyRange)
 	for _, r := range before {
@@ -350,6 +358,9 @@
 func (m *Machine) Step(now time.Time, in Input) []Call {
 	var calls []Call
 	authorized := now.Before(in.Authority)
+	if authorized {
+		calls = m.dueRevocations(now, in)
+	}
 	for _, r := range m.rows {
 		m.updateFreed(now, r, in)
 		if !authorized {
@@ -373,7 +384,7 @@
 		return
 	}
 	h := r.holding
-	lapsed := now.After(r.formerMayHoldUntil) && m.EarlierGrantsExpired(now, in)
+	lapsed := now.After(r.formerMayHoldUntil) && (m.Revoked(r.service) || m.EarlierGrantsExpired(now, in))
 	startedAgain := h.Holder.Upstream == h.Former.Upstream && in.Ended(h.Former)
 	if lapsed || startedAgain {
 		r.freed = true
@@ -527,9 +538,13 @@
 	m.reachabilityOf(now, run).contact(now)
 }
 
-// HandleReleaseResult handles the result of a release. ok means that the former
-// holder has confirmed that it no longer holds the keys.
+// HandleReleaseResult handles the result of a release or a revocation. ok means that the
+// upstream has confirmed that it no longer holds the keys.
 func (m *Machine) HandleReleaseResult(now time.Time, c Call, handover string, ok bool) {
+	if c.Kind == CallRevoke {
+		m.revocations.record(now, c, ok, m.timing.Retry)
+		return
+	}
 	for _, r := range m.rowsFor(c) {
 		r.releasing = false
 		if ok {
@@ -568,18 +583,17 @@
 
 // All returns the states of all holdings, one by one, in order of service and key.
 func (m *Machine) All(now time.Time, in Input) iter.Seq[State] {
-	earlier := m.timing.earlierExpiry(in)
 	return func(yield func(State) bool) {
 		for _, r := range m.rows {
-			if !yield(m.state(now, r, in, earlier)) {
+			if !yield(m.state(now, r, in)) {
 				return
 			}
 		}
 	}
 }
 
-// state returns the state of a row; earlier is when the grants of earlier leaders expire.
-func (m *Machine) state(now time.Time, r *row, in Input, earlier time.Time) State {
+// state returns the state of a row.
+func (m *Machine) state(now time.Time, r *row, in Input) State {
 	h := r.holding
 	ended := in.Ended(h.Holder)
 	free := r.isFree(now)
@@ -590,7 +604,10 @@
 		Lost:  ended || known && reach.lost, Fenced: r.fenced,
 	}
 	if !ended && !h.Holder.IsZero() {
-		s.LapsesAt = later(later(r.mayHoldUntil, r.pendingExpiry), earlier)
+		s.LapsesAt = later(r.mayHoldUntil, r.pendingExpiry)
+		if !m.Revoked(r.service) {
+			s.LapsesAt = later(s.LapsesAt, m.timing.earlierExpiry(in))
+		}
 	}
 	return s
 }
@@ -626,7 +643,7 @@
 		if r.holding.Fence != h.Fence || r.holding.KeyRange != h.KeyRange {
 			continue
 		}
-		s := m.state(now, r, in, m.timing.earlierExpiry(in))
+		s := m.state(now, r, in)
 		return s.Ready && !s.Lost && !s.Fenced && r.holding.Former.IsZero() && r.unseen.IsZero()
 	}
 	return false
--- a/keeper/machine_test.go
+++ b/keeper/machine_test.go
@@ -28,6 +28,7 @@
 	noAuthority    bool
 	ended          []pimento.Run
 	addressUnknown []pimento.Run
+	upstreams      []pimento.Run // of the service; nil: not all are known
 }
 
 func newSimulation() *simulation {
@@ -47,6 +48,7 @@
 		}
 		return false
 	}
+	in.Upstreams = func(pimento.ServiceName) ([]pimento.Run, bool) { return sim.upstreams, sim.upstreams != nil }
 	in.Ended = func(r pimento.Run) bool { return contains(sim.ended, r) }
 	in.AddressKnown = func(r pimento.Run) bool { return !contains(sim.addressUnknown, r) }
 	in.UpstreamKnown = func(name pimento.UpstreamName) bool {
--- a/keeper/random_test.go
+++ b/keeper/random_test.go
@@ -23,6 +23,8 @@
 	worldTick      = 10 * time.Millisecond
 	// settling is the time from the beginning of a term to the end of earlier authority.
 	settling = 930 * time.Millisecond
+	// unknownSettling is the same if earlier terms may not be known.
+	unknownSettling = 20960 * time.Millisecond
 	// longestWay is how long after the last check a grant may arrive.
 	longestWay = 90 * time.Millisecond
 	// longestLateness is how long after its arrival an upstream may carry out a call.
@@ -66,12 +68,13 @@
 	copies     []pimento.Assignment // earlier ones
 	epoch      uint64
 	reachNext  bool // a call that is under way reaches the next run of its upstream
+	losesTerms bool // a leader may not know the one before, which goes on
 	violations []string
 	joins      int
 }
 
-func newWorld(seed uint64, reachNext bool) *world {
-	w := &world{rng: rand.New(rand.NewPCG(seed, 7)), now: t0, reachNext: reachNext}
+func newWorld(seed uint64, reachNext, losesTerms bool) *world {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 7)), now: t0, reachNext: reachNext, losesTerms: losesTerms}
 	for i := range worldUpstreams {
 		w.upstreams = append(w.upstreams, &worldUpstream{run: pimento.Run{Upstream: pimento.UpstreamName(fmt.Sprint("u", i)), Started: t0}})
 	}
@@ -91,17 +94,23 @@
 
 // beginTerm replaces the leader. The one before keeps its authority for a while.
 func (w *world) beginTerm(restored bool) {
+	settles := settling
+	restored = restored && len(w.copies) > 0
+	if w.losesTerms && (restored || w.stored.Restored) {
+		settles = unknownSettling
+	}
 	if n := len(w.leaders); n > 0 {
-		w.leaders[n-1].authority = w.now.Add(w.within(settling - 30*time.Millisecond))
+		w.leaders[n-1].authority = w.now.Add(w.within(settles - 30*time.Millisecond))
 	}
 	w.epoch++
-	if restored && len(w.copies) > 0 {
+	if restored {
 		w.stored = w.copies[w.rng.IntN(len(w.copies))].Clone()
-		w.stored.Term.Epoch = w.epoch
-		w.stored.RestoreFromCopy()
 	}
 	w.stored.Term.Epoch = w.epoch
-	l := &worldLeader{m: New(DefaultTiming(10 * time.Second)), settled: w.now.Add(settling)}
+	if restored || w.losesTerms && w.stored.Restored {
+		w.stored.RestoreFromCopy()
+	}
+	l := &worldLeader{m: New(DefaultTiming(10 * time.Second)), settled: w.now.Add(settles)}
 	next := w.stored.Clone()
 	l.m.Adopt(w.now, &next)
 	w.leaders = append(w.leaders, l)
@@ -118,8 +127,13 @@
 		authority = w.now.Add(900 * time.Millisecond)
 	}
 	known := func(r pimento.Run) bool { return !r.IsZero() && w.upstream(r.Upstream).run.Same(r) }
+	var runs []pimento.Run
+	for _, u := range w.upstreams {
+		runs = append(runs, u.run)
+	}
 	return Input{
 		Authority: authority, Settled: l.settled,
+		Upstreams:     func(pimento.ServiceName) ([]pimento.Run, bool) { return runs, w.losesTerms },
 		Ended:         func(r pimento.Run) bool { return !r.IsZero() && !known(r) },
 		AddressKnown:  known,
 		UpstreamKnown: func(name pimento.UpstreamName) bool { return name != "" },
@@ -414,16 +428,18 @@
 // assignments, changes of the leader and calls that are carried out late come together.
 func TestOneHolderInARandomWorld(t *testing.T) {
 	for _, c := range []struct {
-		name      string
-		reachNext bool
+		name       string
+		reachNext  bool
+		losesTerms bool
 	}{
-		{"calls end with their run", false},
-		{"calls reach the next run", true},
+		{"calls end with their run", false, false},
+		{"calls reach the next run", true, false},
+		{"terms are lost", false, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			joins := 0
 			for seed := *randomFirst; seed < *randomFirst+*randomSeeds; seed++ {
-				w := newWorld(seed, c.reachNext)
+				w := newWorld(seed, c.reachNext, c.losesTerms)
 				w.run()
 				if n := len(w.violations); n > 0 {
 					t.Errorf("seed %d: %d violations, the first: %s", seed, n, w.violations[0])
--- a/leader/era.go
+++ b/leader/era.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"pimentorelay.example/pimento"
@@ -18,6 +19,7 @@
 		if !l.storeEra.CompareAndSwap(known, era) {
 			continue
 		}
+		l.eraHeardAt.Store(timekeeper.Now().UnixNano())
 		if known > 0 {
 			l.outages.restored(timekeeper.Now())
 		}
@@ -41,6 +43,19 @@
 	return l.handedEpoch == epoch || !l.storeBehind && l.assignment.WrittenIn() >= l.revision.Era
 }
 
+// knowsLatest reports whether the assignment known here is the newest one, after a campaign
+// in which some processes voted. The leader that handed it over may have been replaced in a
+// term that a restored store has lost. Such a term can act only once most confirmers of the
+// one before know it or have ended, so that most of them do not vote for that one.
+func (l *Leader) knowsLatest(voters []pimento.ProcessID) bool {
+	certain := l.isCertain()
+	handed := l.assignment != nil && l.handedEpoch == l.knownEpoch() && l.assignment.WrittenIn() < l.revision.Era
+	if !certain || !handed {
+		return certain
+	}
+	return !pimento.LacksMajority(l.elector.Term().Confirmers, func(id pimento.ProcessID) bool { return !slices.Contains(voters, id) })
+}
+
 // refusesTerm reports whether a term names this process as its leader although its write
 // was not confirmed: the store was restored meanwhile, and the write may have replaced
 // the decisions of another leader.
--- a/leader/grants.go
+++ b/leader/grants.go
@@ -209,8 +209,42 @@
 	}
 }
 
-// sendRelease sends one release to the latest run of the former holder's upstream if
-// this process has authority.
+// mayHoldKeys returns the runs of all upstreams of a service, false while some may not be
+// known: after a restore of the store, entries are written again within lapsedEntryGrace.
+func (l *Leader) mayHoldKeys(service pimento.ServiceName) ([]pimento.Run, bool) {
+	r := &l.term.upstreams
+	if !r.readBeganAt.After(time.Unix(0, l.eraHeardAt.Load()).Add(lapsedEntryGrace)) {
+		return nil, false
+	}
+	var out []pimento.Run
+	for _, s := range r.list() {
+		if s.Service == service {
+			out = append(out, pimento.Run{Upstream: s.Name, Started: s.Started})
+		}
+	}
+	return out, true
+}
+
+// logRegained logs, once for each service of a restored assignment, that no grant of an
+// earlier leader can be in force any more.
+func (l *Leader) logRegained(now time.Time, in keeper.Input) {
+	if !l.assignment.Restored {
+		return
+	}
+	expired := l.keeper.EarlierGrantsExpired(now, in)
+	for _, table := range l.assignment.Tables {
+		name := table.Service
+		revoked := l.keeper.Revoked(name)
+		if l.term.regained[name] || !revoked && !expired {
+			continue
+		}
+		l.term.regained[name] = true
+		l.Events.Emit(pimento.EventKeysRegained, "Service", name, "Epoch", l.elector.Term().Epoch, "Revoked", revoked, "Took", now.Sub(l.term.beganAt).Round(time.Millisecond))
+	}
+}
+
+// sendRelease sends one release or revocation to the latest run of its upstream if this
+// process has authority.
 func (l *Leader) sendRelease(q *queue, c keeper.Call) {
 	t := l.term
 	s, known := t.servers[c.Run.Upstream]
@@ -227,7 +261,7 @@
 		l.postTerm(t, func() {
 			q.releasing--
 			l.keeper.HandleReleaseResult(timekeeper.Now(), c, handover, err == nil)
-			l.Events.Emit(pimento.EventReleased, "Service", c.Service, "Upstream", c.Run.Upstream, "Keys", c.Grant.Range, "Fence", c.Grant.Fence,
+			l.Events.Emit(pimento.EventReleased, "Service", c.Service, "Upstream", c.Run.Upstream, "Keys", c.Grant.Range, "Fence", c.Grant.Fence, "Call", c.Kind,
 				"Took", time.Since(startedAt).Round(time.Millisecond), "Handover", handover != "", "Error", errorText(err))
 			l.startCalls(q)
 		})
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -148,6 +148,7 @@
 	latestTerm      atomic.Pointer[pimento.Term]
 	storeAnsweredAt atomic.Int64  // Unix nanoseconds of timekeeper
 	storeEra        atomic.Uint64 // highest era of the store that this process has heard of
+	eraHeardAt      atomic.Int64  // when it first heard of that one, in Unix nanoseconds of timekeeper
 	outages         outages
 
 	// authorityUntil is the end of this process's authority, in Unix nanoseconds.
@@ -210,6 +211,7 @@
 	servers         map[pimento.UpstreamName]pimento.Server // last known
 	queues          map[pimento.UpstreamName]*queue
 	granting        int                                  // in all queues
+	regained        map[pimento.ServiceName]bool         // whose keys no earlier leader can have granted
 	lost            map[pimento.UpstreamName]pimento.Run // lost runs, until a probe reaches them
 	probing         map[pimento.UpstreamName]bool
 
@@ -378,6 +380,7 @@
 		members: make(map[pimento.ProcessID]*member), capacities: make(map[pimento.UpstreamName]float64),
 		servers: make(map[pimento.UpstreamName]pimento.Server), queues: make(map[pimento.UpstreamName]*queue),
 		lost: make(map[pimento.UpstreamName]pimento.Run), probing: make(map[pimento.UpstreamName]bool), pauses: make(pauses),
+		regained:    make(map[pimento.ServiceName]bool),
 		listBackoff: timekeeper.Backoff{Initial: minListBackoff, Max: maxListBackoff},
 	}
 	t.ctx, t.cancel = context.WithCancel(ctx)
@@ -435,6 +438,7 @@
 	for _, c := range l.keeper.Step(now, in) {
 		l.enqueueCall(c)
 	}
+	l.logRegained(now, in)
 	l.startQueued()
 	l.probeLostUpstreams()
 	if !t.writing && !l.repairStore(now) && !now.Before(t.planAt) {
@@ -448,11 +452,14 @@
 // keeperInput returns the input of the keeper's next step.
 func (l *Leader) keeperInput() keeper.Input {
 	settled, ok := l.elector.SettledAt()
+	if l.assignment.Restored { // the store may have lost terms
+		settled, ok = l.elector.UnknownSettledAt()
+	}
 	if !ok {
 		settled = timekeeper.Now().Add(l.ElectorTiming.MaxWithoutStore)
 	}
 	return keeper.Input{
-		Authority: l.elector.AuthorityUntil(), Settled: settled,
+		Authority: l.elector.AuthorityUntil(), Settled: settled, Upstreams: l.mayHoldKeys,
 		Ended:         l.term.upstreams.ended,
 		AddressKnown:  func(r pimento.Run) bool { _, ok := l.term.serverOf(r); return ok },
 		UpstreamKnown: func(name pimento.UpstreamName) bool { _, ok := l.term.servers[name]; return ok },
--- /dev/null
+++ b/leader/lostterm_test.go
@@ -0,0 +1,171 @@
+package leader
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pimentorelay.example/pimento"
+	"pimentorelay.example/pimento/elector"
+)
+
+const (
+	// soleLeaderTime is how long a process takes to lead alone once all others are lost.
+	soleLeaderTime = 12 * time.Second
+	// storeCutTime is how long the leader of a lost term stays cut from the store. It may act
+	// until elector.Timing.MaxWithoutStore after the store last showed its term.
+	storeCutTime = 18 * time.Second
+)
+
+// lostTermCase is what the processes that start after a restore of the store find, and what
+// happens to them.
+type lostTermCase struct {
+	name      string
+	knowsTerm bool                                       // the copy has the term before the lost one
+	next      int                                        // number of the processes
+	meanwhile func(cl *cluster, next []pimento.HostName) // once they have started
+}
+
+var lostTermCases = []lostTermCase{
+	{name: "no term is known", next: 1},
+	{name: "an older term is known", knowsTerm: true, next: 1},
+	{name: "an older term is known, its confirmers have ended", knowsTerm: true, next: simProcesses - 1},
+	{name: "an upstream does not answer the next leader", next: 1, meanwhile: func(cl *cluster, next []pimento.HostName) {
+		cl.cutLink(string(next[0]), "u1")
+	}},
+	{name: "the next leader is lost", next: simProcesses - 1, meanwhile: killActing},
+	{name: "the next leader is lost, grants are carried out late", next: simProcesses - 1, meanwhile: func(cl *cluster, next []pimento.HostName) {
+		cl.mu.Lock()
+		cl.lateGrantRate = 0.3
+		cl.mu.Unlock()
+		killActing(cl, next)
+	}},
+}
+
+// killActing kills, some seconds later, those of the hosts' processes that act as the leader.
+func killActing(cl *cluster, hosts []pimento.HostName) {
+	time.Sleep(cl.randomDuration(2*time.Second, 6*time.Second))
+	for _, id := range cl.actingLeaders() {
+		for _, h := range hosts {
+			if strings.HasPrefix(string(id), string(h)+"-") {
+				cl.killProcess(h)
+			}
+		}
+	}
+}
+
+// TestTermThatARestoreHasLost guards against two leaders that grant the same keys: one acts by
+// a term that a restored store has lost, the other was elected without knowing of that term.
+func TestTermThatARestoreHasLost(t *testing.T) {
+	for _, c := range lostTermCases {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range *restoreSeeds {
+				runCluster(t, seed+1, false, func(cl *cluster) {
+					former := cl.hosts[0]
+					for _, h := range cl.hosts {
+						cl.killProcess(h)
+					}
+					lostAt := time.Now()
+					time.Sleep(cl.randomDuration(0, time.Second))
+					cl.startProcess(former)
+					time.Sleep(soleLeaderTime)
+					if cl.leaderHost() != former {
+						t.Fatalf("seed %d: %s does not lead", seed+1, former)
+					}
+					cl.cutLink(string(former), storeName)
+					cl.cutLink(storeName, string(former))
+					cl.runAfter(storeCutTime, func() { cl.healLinks(string(former), storeName) })
+					time.Sleep(cl.randomDuration(0, time.Second))
+					if c.knowsTerm {
+						cl.restoreStore(time.Since(lostAt))
+					} else {
+						cl.restoreStore(2 * storeLogTime)
+					}
+					next := cl.hosts[1 : 1+c.next]
+					for _, h := range next {
+						cl.startProcess(h)
+					}
+					if c.meanwhile != nil {
+						c.meanwhile(cl, next)
+					}
+					time.Sleep(storeCutTime)
+					cl.clearFaults()
+					cl.stopLoad()
+					if !cl.awaitHealthy(recoveryTime) {
+						t.Errorf("seed %d: %d keys are held, acting leaders %v", seed+1, cl.heldKeyCount(), cl.actingLeaders())
+					}
+					if v := cl.copyViolations(); len(v) > 1 {
+						t.Logf("seed %d: %d violations", seed+1, len(v))
+					}
+				})
+			}
+		})
+	}
+}
+
+// storedAssignment returns the assignment in the store.
+func (cl *cluster) storedAssignment(t *testing.T) pimento.Assignment {
+	t.Helper()
+	cl.mu.Lock()
+	e := cl.store[string(KindAssignment)+"/"+AssignmentName]
+	cl.mu.Unlock()
+	var a pimento.Assignment
+	if err := json.Unmarshal(e.Value, &a); err != nil {
+		t.Fatalf("storedAssignment: %v", err)
+	}
+	return a
+}
+
+// TestFencesAfterALostTerm guards against grants of a leader that are in force after the next
+// one has revoked all: its fences must be below that of the revocations.
+func TestFencesAfterALostTerm(t *testing.T) {
+	runCluster(t, 1, false, func(cl *cluster) {
+		cl.restoreStore(2 * storeLogTime)
+		for _, h := range cl.hosts {
+			cl.killProcess(h)
+			cl.startProcess(h)
+		}
+		time.Sleep(startupTime)
+		first := cl.storedAssignment(t)
+		if !first.Restored {
+			t.Fatal("the first leader trusts the copy")
+		}
+		cl.killProcess(cl.leaderHost())
+		time.Sleep(startupTime)
+		second := cl.storedAssignment(t)
+		if second.Term.Epoch == first.Term.Epoch || !second.Restored {
+			t.Fatalf("no other leader was elected before the grants of lost terms expire: %+v", second.Term)
+		}
+		if second.RevokeFence < first.NextFence {
+			t.Errorf("revocations have fence %d, the leader before has given fences up to %d", second.RevokeFence, first.NextFence-1)
+		}
+	})
+}
+
+// TestHandedAssignmentAfterARestore guards against a candidate that trusts the assignment of a
+// leader that was replaced in a term which the restored store has lost.
+func TestHandedAssignmentAfterARestore(t *testing.T) {
+	term := pimento.Term{Epoch: 5, Leader: "a", Confirmers: []pimento.ProcessID{"a", "b", "c"}}
+	for _, c := range []struct {
+		name   string
+		era    uint64 // of the store
+		voters []pimento.ProcessID
+		want   bool
+	}{
+		{"most confirmers may know a later term", 2, []pimento.ProcessID{"d", "a"}, false},
+		{"most confirmers know no later term", 2, []pimento.ProcessID{"d", "a", "b"}, true},
+		{"the store was not restored", 1, []pimento.ProcessID{"d", "a"}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			l := &Leader{elector: elector.New("d", elector.DefaultTiming())}
+			l.elector.AdoptTerm(time.Now(), term)
+			l.assignment, l.handedEpoch, l.storeBehind = &pimento.Assignment{Term: term, Era: 1}, term.Epoch, true
+			l.revision = pimento.Revision{Era: c.era, Number: 1}
+			is.Equal(l.knowsLatest(c.voters), c.want)
+		})
+	}
+}
