Adopt the own term that was read before its write was answered

What callers saw: nothing of it alone. In the simulation of a leader before a lost term, a leader wrote its new term, did not adopt it, and wrote its former assignment over it 0.2 s later: keys had two holders.

Cause: a reading that shows a term of this process before the answer to its write is refused, as the write may have replaced another leader's decisions. It set the known revision even so, and the answer then had no later revision and was dropped.

Change: a confirmed write is adopted at the revision that is known already. It works since a revision is given to one write only.

Measured: TestOwnTermIsReadBeforeItsWriteIsAnswered failed before (epoch 1, not 2) and passes.

--- a/leader/assignment.go
+++ b/leader/assignment.go
@@ -61,7 +61,8 @@
 // carried out late.
 // won means that it was written here.
 func (l *Leader) adoptAssignment(now time.Time, s storedAssignment, won bool) {
-	if !s.revision.After(l.revision) {
+	confirmed := won && s.revision == l.revision // a reading has shown it before the answer to the write
+	if !s.revision.After(l.revision) && !confirmed {
 		return
 	}
 	if s.revision.Era != l.revision.Era {
