Take the assignment for a copy if a restore has lost a later term

Both leaders acted and some keys had two holders. When that process came back, it led again by its higher epoch and gave fences that the other leader had given.

Cause: a leader that most confirmers confirm takes its decisions for the newest and writes them to a restored store, under its old epoch. A process that is cut off from all confirmers replaces it by the write alone after 7 s of silence and moves keys by releases at once. A copy of before that write hides the term. A candidate to which the first leader hands its assignment over makes the same mistake.

Change: a refusal of a current grant around a restore makes the leader take its assignment for a copy, once in each era: fences of its own, and all upstreams release their keys before any are granted. The first write to a restored store begins a term with an epoch of the new era. An assignment that was handed over is no proof after a restore. The time after which earlier leaders have stopped counts from that write too.

Why it works: the two leaders renew what both know under the same fences, so the first key that one of them moves makes an upstream refuse the other one's renewal, within 0.6 s. Fences of the new era are above all lost ones, and a lost leader that comes back finds a later epoch.

--- a/elector/machine.go
+++ b/elector/machine.go
@@ -96,6 +96,7 @@
 
 	// As the leader.
 	electedAt    time.Time
+	restoredAt   time.Time                       // when this leader last wrote its term to a restored store
 	confirmed    map[pimento.ProcessID]time.Time // when the latest confirmed heartbeat was sent
 	knowsTerm    map[pimento.ProcessID]bool      // processes that know this term
 	verifiedAt   time.Time                       // when the store last showed this term
@@ -268,10 +269,19 @@
 	return m.lastSettledAt(), true
 }
 
-// lastSettledAt returns when leaders that the store has not shown since the election have
-// stopped.
+// RecordRestore records that this leader has written its term to a restored store. Until now
+// the store may have shown an earlier term to the leader of that one, or a later term that is
+// lost.
+func (m *Machine) RecordRestore(now time.Time) { m.restoredAt = now }
+
+// lastSettledAt returns when leaders that the store has not shown since the election, or since
+// it was restored, have stopped.
 func (m *Machine) lastSettledAt() time.Time {
-	return m.electedAt.Add(m.timing.MaxWithoutStore + m.timing.Lease + 2*m.timing.Drift)
+	since := m.electedAt
+	if m.restoredAt.After(since) {
+		since = m.restoredAt
+	}
+	return since.Add(m.timing.MaxWithoutStore + m.timing.Lease + 2*m.timing.Drift)
 }
 
 // GrantsVote reports whether this process votes for a candidate for the epoch
--- a/leader/campaign.go
+++ b/leader/campaign.go
@@ -284,7 +284,7 @@
 	next.Term = l.elector.NextTerm(l.eligible(live), l.ended)
 	next.Term.Epoch = max(next.Term.Epoch, l.knownEpoch()+1)
 	next.EnterEra(l.revision.Era, true)
-	if next.Restored || !l.knowsLatest(live) {
+	if next.Restored || !l.knowsLatest() {
 		next.RestoreFromCopy()
 	}
 	next.Members = l.assignmentMembers(&next, func(id pimento.ProcessID) bool {
--- a/leader/era.go
+++ b/leader/era.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"slices"
 	"time"
 
 	"pimentorelay.example/pimento"
@@ -43,17 +42,12 @@
 	return l.handedEpoch == epoch || !l.storeBehind && l.assignment.WrittenIn() >= l.revision.Era
 }
 
-// knowsLatest reports whether the assignment known here is the newest one, after a campaign
-// in which some processes voted. The leader that handed it over may have been replaced in a
-// term that a restored store has lost. Such a term can act only once most confirmers of the
-// one before know it or have ended, so that most of them do not vote for that one.
-func (l *Leader) knowsLatest(voters []pimento.ProcessID) bool {
-	certain := l.isCertain()
-	handed := l.assignment != nil && l.handedEpoch == l.knownEpoch() && l.assignment.WrittenIn() < l.revision.Era
-	if !certain || !handed {
-		return certain
-	}
-	return !pimento.LacksMajority(l.elector.Term().Confirmers, func(id pimento.ProcessID) bool { return !slices.Contains(voters, id) })
+// knowsLatest reports whether the assignment known here is the newest one. One that was
+// handed over may not be after a restore: a process that was cut off from the others, and not
+// from the store, may have replaced their leader in a term that the store has lost.
+func (l *Leader) knowsLatest() bool {
+	handed := l.assignment != nil && l.handedEpoch == l.knownEpoch()
+	return l.isCertain() && !(handed && l.assignment.WrittenIn() < l.revision.Era)
 }
 
 // refusesTerm reports whether a term names this process as its leader although its write
@@ -170,7 +164,9 @@
 
 // repairStore brings the decisions of this leader back into a store that was restored
 // from a copy or holds an older assignment for another reason. It reports whether that
-// is necessary. Without authority this process may have been replaced in a term that
+// is necessary. It begins a term that is later than any which the store has lost, as the
+// leader of one may come back. No keys move until upstreams have had the time to refuse a renewal, if they
+// hold them by a term that the store has lost. Without authority this process may have been replaced in a term that
 // the store has lost: then it waits, and at last resigns to campaign like any other.
 func (l *Leader) repairStore(now time.Time) bool {
 	t := l.term
@@ -194,12 +190,24 @@
 	}
 	t.writing = true
 	next := l.assignment.Clone()
-	next.EnterEra(l.revision.Era, false)
+	if l.revision.Era > l.assignment.WrittenIn() {
+		next.Term = l.elector.NextTerm(l.elector.Term().Confirmers, l.ended)
+		next.Term.Epoch = max(next.Term.Epoch, l.knownEpoch()+1)
+		next.EnterEra(l.revision.Era, true)
+	}
+	isCopy := l.sawLostTerm(now)
+	if isCopy {
+		next.RestoreFromCopy()
+	}
 	l.writeAssignment(t.ctx, next, l.revision, func(s storedAssignment, won bool) {
 		t.writing = false
 		l.adoptAssignment(timekeeper.Now(), s, won)
 		if won {
 			l.Events.Emit(pimento.EventStoreRepaired, "Epoch", next.Term.Epoch, "Revision", s.revision, "Era", s.revision.Era)
+			l.elector.RecordRestore(timekeeper.Now())
+		}
+		if won && isCopy {
+			l.beginCopy(s)
 		}
 		if l.term == t && l.elector.IsLeader() {
 			l.keeper.Adopt(timekeeper.Now(), l.assignment)
@@ -208,6 +216,29 @@
 	return true
 }
 
+// lostTermMayAct reports whether a leader whose term a restored store has lost may still act.
+func (l *Leader) lostTermMayAct(now time.Time) bool {
+	return l.storeEra.Load() > 1 && now.Sub(l.heardEraAt()) < l.ElectorTiming.MaxWithoutStore
+}
+
+// heardEraAt returns when this process first heard of the present era of the store.
+func (l *Leader) heardEraAt() time.Time { return time.Unix(0, l.eraHeardAt.Load()) }
+
+// sawLostTerm reports whether an upstream has shown, around a restore of the store, the fence
+// of another leader. As the store does not show that one, it has lost its term.
+func (l *Leader) sawLostTerm(now time.Time) bool {
+	t := l.term
+	return l.lostTermMayAct(now) && t.copyEra < l.storeEra.Load() && !t.fencedAt.IsZero() &&
+		l.heardEraAt().Sub(t.fencedAt) < l.ElectorTiming.MaxWithoutStore
+}
+
+// beginCopy notes that this leader has written an assignment which it takes for a copy.
+func (l *Leader) beginCopy(s storedAssignment) {
+	l.term.copyEra = s.revision.Era
+	l.elector.RecordRestore(timekeeper.Now())
+	l.Events.Emit(pimento.EventCopyTaken, "Epoch", s.assignment.Term.Epoch, "Revision", s.revision)
+}
+
 // readStored reads which revision the stored assignment has in the present era.
 func (l *Leader) readStored() {
 	t := l.term
--- a/leader/grants.go
+++ b/leader/grants.go
@@ -190,6 +190,7 @@
 // doubtTerm lets the store show the term of this leader soon, since a grant was refused that
 // no grant or release of this leader can have overtaken.
 func (l *Leader) doubtTerm(now time.Time, c keeper.Call) {
+	l.term.fencedAt = now
 	if !l.elector.RecordFenced(now) {
 		return
 	}
@@ -226,7 +227,7 @@
 // known: after a restore of the store, entries are written again within lapsedEntryGrace.
 func (l *Leader) mayHoldKeys(service pimento.ServiceName) ([]pimento.Run, bool) {
 	r := &l.term.upstreams
-	if !r.readBeganAt.After(time.Unix(0, l.eraHeardAt.Load()).Add(lapsedEntryGrace)) {
+	if !r.readBeganAt.After(l.heardEraAt().Add(lapsedEntryGrace)) {
 		return nil, false
 	}
 	var out []pimento.Run
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -217,6 +217,8 @@
 
 	reportAt        time.Time // when to add this process's own report next
 	lastAuthorityAt time.Time
+	fencedAt        time.Time // when an upstream last showed the fence of another leader
+	copyEra         uint64    // last era of the store in which the assignment was taken for a copy
 
 	listBackoff timekeeper.Backoff
 
--- a/leader/plan.go
+++ b/leader/plan.go
@@ -57,7 +57,11 @@
 	t := l.term
 	t.moves = nil
 	next := l.assignment.Clone()
-	changed := l.planConfirmers(now, &next)
+	isCopy := l.HasAuthority() && l.sawLostTerm(now)
+	if isCopy {
+		next.RestoreFromCopy()
+	}
+	changed := l.planConfirmers(now, &next) || isCopy
 	if !changed && (t.upstreams.version == 0 || !l.HasAuthority() || l.manifest() == nil) {
 		return
 	}
@@ -65,11 +69,11 @@
 	changed = changed || !slices.EqualFunc(next.Members, l.assignment.Members, sameMember)
 	next.Pools = appointer.PreferenceLists(next.Pools, l.serviceSizes(), next.Members)
 	changed = changed || !slices.EqualFunc(next.Pools, l.assignment.Pools, samePool)
-	if t.upstreams.version > 0 && l.HasAuthority() && l.manifest() != nil {
+	if !isCopy && t.upstreams.version > 0 && l.HasAuthority() && l.manifest() != nil {
 		changed = l.planTables(now, in, &next) || changed
 	}
 	changed = l.clearFormerHolders(now, &next) || changed
-	if next.Restored && l.keeper.EarlierGrantsExpired(now, in) {
+	if next.Restored && !isCopy && l.keeper.EarlierGrantsExpired(now, in) {
 		next.Restored, changed = false, true
 	}
 	if !changed {
@@ -84,6 +88,9 @@
 			l.logMoves(s.revision, moves)
 			t.verifyAt = timekeeper.Now().Add(verifyInterval) // the write has shown the term
 		}
+		if won && isCopy {
+			l.beginCopy(s)
+		}
 		if !won {
 			l.reportConflict(s)
 		}
