Do not send a request again after a success

What callers saw: nothing known. An upstream whose success bears the header that says that the request was not run would get the request again, or another upstream would, and an order might run twice.

Cause: the header counted whatever the status was.

Evidence: TestSuccessThatSaysNotRun failed before: the answer was dropped and the request counted as not run.

Change: an answer of status 2xx is never a refusal, and is passed on. It works as both of its claims are then met: nothing is run again, and the caller has the upstream's answer.

Measured: TestSuccessThatSaysNotRun and the tests of connector pass.

--- a/connector/client_test.go
+++ b/connector/client_test.go
@@ -68,6 +68,21 @@
 	fmt.Fprintf(p, "\r\n%s", body)
 }
 
+// TestSuccessThatSaysNotRun guards against a request that is sent again after a success, as
+// the answer says that it was not run as well.
+func TestSuccessThatSaysNotRun(t *testing.T) {
+	is := is.New(t)
+	s := newFakeServer(t, func(p *peer) {
+		if _, err := p.readRequest(true); err == nil {
+			p.writeAnswer("a-1", "done", "Pimentorelay-Not-Executed: 1")
+		}
+	})
+	r := &pimento.Request{ID: "a-1", Method: http.MethodPost, Path: "/orders", Deadline: time.Now().Add(time.Second)}
+	answer, _, err := s.client().Send(t.Context(), r, nil)
+	is.NoErr(err)
+	is.Equal(answer.Head.Status, http.StatusOK)
+}
+
 // reset closes the connection with a TCP reset.
 func (p *peer) reset() {
 	p.Conn.(*net.TCPConn).SetLinger(0)
--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return pimento.Answer{}, pimento.AnswerMetadata{}, pimento.Unknown(pimento.ReasonUpstreamLost, err.Error())
 	}
-	if metadata.NotRun && e.isRefusal(metadata) {
+	if metadata.NotRun && e.isRefusal(res.StatusCode, metadata) {
 		e.conn.noteRefused(time.Now(), e.request)
 		e.discardBody(res)
 		reason := pimento.ReasonRefused
@@ -62,9 +62,10 @@
 }
 
 // isRefusal reports whether a refusal is certainly of this request. One without an ID may
-// be a second one of an earlier call on the connection.
-func (e *exchange) isRefusal(m pimento.AnswerMetadata) bool {
-	return m.ID == e.request.ID || m.ID == "" && !e.conn.used
+// be a second one of an earlier call on the connection. A success shows that the request has
+// run, whatever else it says.
+func (e *exchange) isRefusal(status int, m pimento.AnswerMetadata) bool {
+	return status/100 != 2 && (m.ID == e.request.ID || m.ID == "" && !e.conn.used)
 }
 
 // writeRequest sends the head and a short body. A longer body, or one of unknown
