Answer 408 only to requests that have not run

What callers saw: nothing known. A refusal for a body that comes too slowly keeps its reason where an earlier attempt may have run. Its status stayed 408, which promises that the request has not run.

Cause: the status was chosen by the reason alone. All other statuses that promise depend on the outcome too.

Change: without the outcome NotRun the reason gives 502, which promises nothing.

--- a/fault.go
+++ b/fault.go
@@ -182,7 +182,7 @@
 		return http.StatusRequestHeaderFieldsTooLarge
 	case e.Reason == ReasonBodyTooLarge:
 		return http.StatusRequestEntityTooLarge
-	case e.Reason == ReasonCallerSlow:
+	case e.Reason == ReasonCallerSlow && e.Outcome == OutcomeNotRun:
 		return http.StatusRequestTimeout
 	case e.Reason == ReasonBadRequest || e.Reason == ReasonBodyCut:
 		return http.StatusBadRequest
