Promise callers nothing that an upstream does not say

What callers saw: an upstream ran an order, failed at its end and answered 503. The caller got that 503, took it for the promise that the order had not run, and sent it again.

Cause: an answer says that a request was not run by a header, or by status 421, and only these counted inside. The answer was passed on unchanged even so, and to callers 408, 429 and 503 say the same as the header.

TestStatusForACaller failed before in the cases of an own 503, 429, 408, and 503 with a Retry-After.

Change: if an upstream answers a request that may run once only with 408, 429 or 503 and does not say that it did not run it, the caller gets 502, without the upstream's header (reason UpstreamFailed; the log has the upstream's status). The dispatcher judges the upstream by its answer as before.

Why it works: 502 promises nothing, so such a request is not sent again, and no failure bears the signature of an upstream with another status. Idempotent requests get the answer unchanged; they may be sent again in any case.

The tests of connector, forwarder, platform, acceptor and admitter pass.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -17,6 +17,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"sync"
@@ -227,7 +228,7 @@
 		return pimento.Answer{}, err
 	}
 	attempt.Charged = true
-	answer, _, err := permit.Serve(ctx, r, body)
+	answer, metadata, err := permit.Serve(ctx, r, body)
 	if isAvoided(err) { // nothing was sent
 		permit.Done(err)
 		return pimento.Answer{}, err
@@ -236,17 +237,28 @@
 	if err == nil {
 		answer, err = bufferAnswer(ctx, answer)
 	}
+	ended := err // for the dispatcher, which judges the upstream by its answer
+	if err == nil && metadata.FalsePromise && !r.Route.Idempotent(r.Method) {
+		answer, err = pimento.Answer{}, withhold(answer)
+	}
 	trace.Attempts = append(trace.Attempts, Attempt{
 		Upstream: permit.Upstream(), Basis: permit.Basis(), Waited: waited, Took: time.Since(startedAt) - waited, Err: err,
 	})
 	if err != nil || answer.Head.BodyLength >= 0 && answer.Head.BodyLength <= maxBufferedBody {
-		permit.Done(err)
+		permit.Done(ended)
 		return answer, err
 	}
 	answer.Body = newLongBody(ctx, r.Method, answer, permit.Done)
 	return answer, nil
 }
 
+// withhold drops an answer whose status would make its caller send a request again that may
+// have run, and returns the error in its place.
+func withhold(answer pimento.Answer) error {
+	answer.Body.Close()
+	return pimento.Unknown(pimento.ReasonUpstreamFailed, fmt.Sprintf("the upstream answered %d and does not say that it did not run the request", answer.Head.Status))
+}
+
 // isAvoided reports whether a permit was not used, because this process may not send to
 // its upstream now.
 func isAvoided(err error) bool {
--- a/request.go
+++ b/request.go
@@ -34,6 +34,7 @@
 	ReasonAnswerNotKept  Reason = "AnswerNotKept"
 	ReasonBodyCut        Reason = "BodyCut"
 	ReasonWrongAnswer    Reason = "WrongAnswer"
+	ReasonUpstreamFailed Reason = "UpstreamFailed" // with a status that would promise that the request has not run
 	ReasonNoManifest     Reason = "NoManifest"
 	ReasonStaleManifest  Reason = "StaleManifest"
 	ReasonHeaderTooLarge Reason = "HeaderTooLarge"
--- a/wire.go
+++ b/wire.go
@@ -79,13 +79,16 @@
 	Upstream    UpstreamName
 	NotRun      bool // the upstream did not run the request
 	Misdirected bool // the request was for another upstream, or the upstream does not hold the key
-	Load        LoadReport
-	HasLoad     bool
-	IdleTimeout time.Duration // after which the upstream closes the connection; zero: unspecified
-	ColdFor     time.Duration // how long the upstream stays cold
-	Limit       LimitNotice
-	Leaving     bool        // the upstream leaves and will end soon
-	Pause       PauseNotice // of a status 503
+	// FalsePromise means that the status tells callers that the request was not run, and
+	// the upstream does not say so.
+	FalsePromise bool
+	Load         LoadReport
+	HasLoad      bool
+	IdleTimeout  time.Duration // after which the upstream closes the connection; zero: unspecified
+	ColdFor      time.Duration // how long the upstream stays cold
+	Limit        LimitNotice
+	Leaving      bool        // the upstream leaves and will end soon
+	Pause        PauseNotice // of a status 503
 }
 
 // UpstreamWire translates between the protocol of upstreams and the domain types.
