Keep what concerns lost terms in one file

Cause: the files of the leader's calls and of eras had each grown by a part of it, and the end of a write used the present term, which may have ended meanwhile, in place of the one that began the write. Event 4010 counted its time from the beginning of the term where the copy was found later.

Change: leader/lostterm.go; beginCopy gets its term, and sets the time from which 4010 counts and the services that it has named.

--- a/leader/era.go
+++ b/leader/era.go
@@ -164,10 +164,9 @@
 
 // repairStore brings the decisions of this leader back into a store that was restored
 // from a copy or holds an older assignment for another reason. It reports whether that
-// is necessary. It begins a term that is later than any which the store has lost, as the
-// leader of one may come back. No keys move until upstreams have had the time to refuse a renewal, if they
-// hold them by a term that the store has lost. Without authority this process may have been replaced in a term that
-// the store has lost: then it waits, and at last resigns to campaign like any other.
+// is necessary. In a restored store it begins a term that is later than any which the store
+// has lost, as the leader of one may come back. Without authority this process may have been
+// replaced in such a term: then it waits, and at last resigns to campaign like any other.
 func (l *Leader) repairStore(now time.Time) bool {
 	t := l.term
 	era := l.storeEra.Load()
@@ -207,7 +206,7 @@
 			l.elector.RecordRestore(timekeeper.Now())
 		}
 		if won && isCopy {
-			l.beginCopy(s)
+			l.beginCopy(t, s)
 		}
 		if l.term == t && l.elector.IsLeader() {
 			l.keeper.Adopt(timekeeper.Now(), l.assignment)
@@ -216,29 +215,6 @@
 	return true
 }
 
-// lostTermMayAct reports whether a leader whose term a restored store has lost may still act.
-func (l *Leader) lostTermMayAct(now time.Time) bool {
-	return l.storeEra.Load() > 1 && now.Sub(l.heardEraAt()) < l.ElectorTiming.MaxWithoutStore
-}
-
-// heardEraAt returns when this process first heard of the present era of the store.
-func (l *Leader) heardEraAt() time.Time { return time.Unix(0, l.eraHeardAt.Load()) }
-
-// sawLostTerm reports whether an upstream has shown, around a restore of the store, the fence
-// of another leader. As the store does not show that one, it has lost its term.
-func (l *Leader) sawLostTerm(now time.Time) bool {
-	t := l.term
-	return l.lostTermMayAct(now) && t.copyEra < l.storeEra.Load() && !t.fencedAt.IsZero() &&
-		l.heardEraAt().Sub(t.fencedAt) < l.ElectorTiming.MaxWithoutStore
-}
-
-// beginCopy notes that this leader has written an assignment which it takes for a copy.
-func (l *Leader) beginCopy(s storedAssignment) {
-	l.term.copyEra = s.revision.Era
-	l.elector.RecordRestore(timekeeper.Now())
-	l.Events.Emit(pimento.EventCopyTaken, "Epoch", s.assignment.Term.Epoch, "Revision", s.revision)
-}
-
 // readStored reads which revision the stored assignment has in the present era.
 func (l *Leader) readStored() {
 	t := l.term
--- a/leader/grants.go
+++ b/leader/grants.go
@@ -187,17 +187,6 @@
 		"Authority", g.authority.Round(time.Millisecond))
 }
 
-// doubtTerm lets the store show the term of this leader soon, since a grant was refused that
-// no grant or release of this leader can have overtaken.
-func (l *Leader) doubtTerm(now time.Time, c keeper.Call) {
-	l.term.fencedAt = now
-	if !l.elector.RecordFenced(now) {
-		return
-	}
-	l.term.verifyAt = l.term.verifyAt.Add(fencedVerifyInterval - verifyInterval)
-	l.Events.Emit(pimento.EventTermDoubted, "Epoch", l.elector.Term().Epoch, "Service", c.Service, "Upstream", c.Run.Upstream, "Keys", c.Grant.Range, "Fence", c.Grant.Fence)
-}
-
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -223,40 +212,6 @@
 	}
 }
 
-// mayHoldKeys returns the runs of all upstreams of a service, false while some may not be
-// known: after a restore of the store, entries are written again within lapsedEntryGrace.
-func (l *Leader) mayHoldKeys(service pimento.ServiceName) ([]pimento.Run, bool) {
-	r := &l.term.upstreams
-	if !r.readBeganAt.After(l.heardEraAt().Add(lapsedEntryGrace)) {
-		return nil, false
-	}
-	var out []pimento.Run
-	for _, s := range r.list() {
-		if s.Service == service {
-			out = append(out, pimento.Run{Upstream: s.Name, Started: s.Started})
-		}
-	}
-	return out, true
-}
-
-// logRegained logs, once for each service of a restored assignment, that no grant of an
-// earlier leader can be in force any more.
-func (l *Leader) logRegained(now time.Time, in keeper.Input) {
-	if !l.assignment.Restored {
-		return
-	}
-	expired := l.keeper.EarlierGrantsExpired(now, in)
-	for _, table := range l.assignment.Tables {
-		name := table.Service
-		revoked := l.keeper.Revoked(name)
-		if l.term.regained[name] || !revoked && !expired {
-			continue
-		}
-		l.term.regained[name] = true
-		l.Events.Emit(pimento.EventKeysRegained, "Service", name, "Epoch", l.elector.Term().Epoch, "Revoked", revoked, "Took", now.Sub(l.term.beganAt).Round(time.Millisecond))
-	}
-}
-
 // sendRelease sends one release or revocation to the latest run of its upstream if this
 // process has authority.
 func (l *Leader) sendRelease(q *queue, c keeper.Call) {
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -218,7 +218,8 @@
 	reportAt        time.Time // when to add this process's own report next
 	lastAuthorityAt time.Time
 	fencedAt        time.Time // when an upstream last showed the fence of another leader
-	copyEra         uint64    // last era of the store in which the assignment was taken for a copy
+	copyEra         uint64    // last era of the store in which upstreams showed that the assignment is a copy
+	copyAt          time.Time // when the assignment was last taken for a copy, or the term began
 
 	listBackoff timekeeper.Backoff
 
@@ -386,7 +387,7 @@
 		listBackoff: timekeeper.Backoff{Initial: minListBackoff, Max: maxListBackoff},
 	}
 	t.ctx, t.cancel = context.WithCancel(ctx)
-	t.beganAt = now
+	t.beganAt, t.copyAt = now, now
 	t.loads.init()
 	l.seedTerm(now, t)
 	l.term = t
--- a/leader/plan.go
+++ b/leader/plan.go
@@ -89,7 +89,7 @@
 			t.verifyAt = timekeeper.Now().Add(verifyInterval) // the write has shown the term
 		}
 		if won && isCopy {
-			l.beginCopy(s)
+			l.beginCopy(t, s)
 		}
 		if !won {
 			l.reportConflict(s)
