Move no keys right after a restore of the store

What callers saw (in the simulation): the leader before a lost term moved keys that the other leader had moved to other upstreams, which held them too.

Cause: the first refusal of a renewal shows that a term is lost. Plans began right after the first write to the restored store, and a renewal comes every 0.6 s.

Change: keys move 1.2 s after the first write or after the election, if the leader of a lost term may still act then, or as soon as a refusal shows it: then all keys are revoked before any move. It works since each renewal has been answered once by then.

--- a/leader/era.go
+++ b/leader/era.go
@@ -205,6 +205,9 @@
 			l.Events.Emit(pimento.EventStoreRepaired, "Epoch", next.Term.Epoch, "Revision", s.revision, "Era", s.revision.Era)
 			l.elector.RecordRestore(timekeeper.Now())
 		}
+		if won && l.term == t {
+			l.delayMoves(timekeeper.Now())
+		}
 		if won && isCopy {
 			l.beginCopy(t, s)
 		}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -391,6 +391,7 @@
 	t.loads.init()
 	l.seedTerm(now, t)
 	l.term = t
+	l.delayMoves(now)
 	l.keeper = keeper.New(l.KeeperTiming)
 	l.keeper.Adopt(now, l.assignment)
 	l.updateMembers(now)
--- a/leader/lostterm.go
+++ b/leader/lostterm.go
@@ -11,7 +11,7 @@
 // doubtTerm lets the store show the term of this leader soon, since a grant was refused that
 // no grant or release of this leader can have overtaken.
 func (l *Leader) doubtTerm(now time.Time, c keeper.Call) {
-	l.term.fencedAt = now
+	l.term.fencedAt, l.term.planAt = now, now
 	if !l.elector.RecordFenced(now) {
 		return
 	}
@@ -36,6 +36,14 @@
 		l.heardEraAt().Sub(t.fencedAt) < l.ElectorTiming.MaxWithoutStore
 }
 
+// delayMoves lets no keys move before upstreams have had the time to refuse a renewal, if they
+// have seen the fence of a leader whose term the store has lost.
+func (l *Leader) delayMoves(now time.Time) {
+	if l.lostTermMayAct(now) {
+		l.term.planAt = now.Add(l.KeeperTiming.Renew + l.KeeperTiming.AnswerTimeout)
+	}
+}
+
 // beginCopy notes that this leader has written an assignment which it takes for a copy.
 func (l *Leader) beginCopy(t *term, s storedAssignment) {
 	now := timekeeper.Now()
