--- a/leader/lostterm_test.go
+++ b/leader/lostterm_test.go
@@ -56,6 +56,20 @@
 	}
 }
 
+// leadAlone kills all processes and starts one, which leads as its only confirmer.
+func (cl *cluster) leadAlone(t *testing.T, host pimento.HostName) {
+	t.Helper()
+	for _, h := range cl.hosts {
+		cl.killProcess(h)
+	}
+	time.Sleep(cl.randomDuration(0, time.Second))
+	cl.startProcess(host)
+	time.Sleep(soleLeaderTime)
+	if cl.leaderHost() != host {
+		t.Fatalf("%s does not lead", host)
+	}
+}
+
 // TestTermThatARestoreHasLost guards against two leaders that grant the same keys: one acts by
 // a term that a restored store has lost, the other was elected without knowing of that term.
 func TestTermThatARestoreHasLost(t *testing.T) {
@@ -64,19 +78,10 @@
 			for seed := range *restoreSeeds {
 				runCluster(t, seed+1, false, func(cl *cluster) {
 					former := cl.hosts[0]
-					for _, h := range cl.hosts {
-						cl.killProcess(h)
-					}
 					lostAt := time.Now()
-					time.Sleep(cl.randomDuration(0, time.Second))
-					cl.startProcess(former)
-					time.Sleep(soleLeaderTime)
-					if cl.leaderHost() != former {
-						t.Fatalf("seed %d: %s does not lead", seed+1, former)
-					}
-					cl.cutLink(string(former), storeName)
-					cl.cutLink(storeName, string(former))
-					cl.runAfter(storeCutTime, func() { cl.healLinks(string(former), storeName) })
+					cl.leadAlone(t, former)
+					cl.cutFromStore(former)
+					cl.runAfter(storeCutTime, func() { cl.healStore(former) })
 					time.Sleep(cl.randomDuration(0, time.Second))
 					if c.knowsTerm {
 						cl.restoreStore(time.Since(lostAt))
@@ -110,13 +115,8 @@
 func TestLeaderOfALostTermStops(t *testing.T) {
 	runCluster(t, 1, true, func(cl *cluster) {
 		former := cl.hosts[0]
-		for _, h := range cl.hosts {
-			cl.killProcess(h)
-		}
-		cl.startProcess(former)
-		time.Sleep(soleLeaderTime)
-		cl.cutLink(string(former), storeName)
-		cl.cutLink(storeName, string(former))
+		cl.leadAlone(t, former)
+		cl.cutFromStore(former)
 		cl.restoreStore(2 * storeLogTime)
 		cl.startProcess(cl.hosts[1])
 		time.Sleep(lapsedEntryGrace)
@@ -135,7 +135,7 @@
 // store and moves keys by it, while the leader of the term that followed, which the store has
 // lost, acts on.
 func TestLeaderBeforeALostTerm(t *testing.T) {
-	for seed := range *restoreSeeds {
+	for seed := range 5 * *restoreSeeds { // few of them lose a term that has moved keys
 		runCluster(t, seed+1, false, func(cl *cluster) {
 			former := cl.leaderHost()
 			next := cl.hosts[0]
@@ -145,8 +145,7 @@
 			cl.cutFromHosts(next, time.Minute)
 			for _, h := range cl.hosts {
 				if h != next {
-					cl.cutLink(string(h), storeName)
-					cl.cutLink(storeName, string(h))
+					cl.cutFromStore(h)
 				}
 			}
 			before := cl.storedAssignment(t)
@@ -158,11 +157,10 @@
 			}
 			time.Sleep(cl.randomDuration(0, 1500*time.Millisecond))
 			cl.restoreStore(10 * time.Second)
-			cl.cutLink(string(next), storeName)
-			cl.cutLink(storeName, string(next))
+			cl.cutFromStore(next)
 			for _, h := range cl.hosts {
 				if h != next {
-					cl.healLinks(string(h), storeName)
+					cl.healStore(h)
 				}
 			}
 			time.Sleep(storeCutTime)
--- a/leader/restore_test.go
+++ b/leader/restore_test.go
@@ -37,9 +37,7 @@
 		cl.killProcess(cl.leaderHost())
 	}},
 	{name: "leader stays cut from the store", before: func(cl *cluster) {
-		l := string(cl.leaderHost())
-		cl.cutLink(l, storeName)
-		cl.cutLink(storeName, l)
+		cl.cutFromStore(cl.leaderHost())
 	}},
 	{name: "leader is isolated meanwhile", before: func(cl *cluster) { cl.isolate(cl.leaderHost(), 4*time.Second) }},
 	{name: "leader is isolated after", after: func(cl *cluster) { cl.isolate(cl.leaderHost(), 3*time.Second) }},
@@ -65,17 +63,15 @@
 		time.Sleep(3 * time.Second)
 	}, after: func(cl *cluster) { cl.killProcess(cl.leaderHost()) }},
 	{name: "a replaced leader comes back after", before: func(cl *cluster) {
-		l := string(cl.leaderHost())
-		cl.cutFromHosts(pimento.HostName(l), 10*time.Second)
-		cl.cutLink(l, storeName)
-		cl.cutLink(storeName, l)
-		cl.runAfter(5*time.Second+storeAwayTime, func() { cl.healLinks(l, storeName) })
+		l := cl.leaderHost()
+		cl.cutFromHosts(l, 10*time.Second)
+		cl.cutFromStore(l)
+		cl.runAfter(5*time.Second+storeAwayTime, func() { cl.healStore(l) })
 		time.Sleep(5 * time.Second)
 	}, after: func(cl *cluster) {
-		l := string(cl.leaderHost())
-		cl.cutLink(l, storeName)
-		cl.cutLink(storeName, l)
-		cl.runAfter(4*time.Second, func() { cl.healLinks(l, storeName) })
+		l := cl.leaderHost()
+		cl.cutFromStore(l)
+		cl.runAfter(4*time.Second, func() { cl.healStore(l) })
 	}},
 	{name: "restored again", after: func(cl *cluster) {
 		time.Sleep(cl.randomDuration(0, 2*time.Second))
