Delay only moves of keys after a restore, not whole plans

Cause: the pause after a restore put off the whole plan, which also replaces dispatchers and confirmers and clears former holders.

Change: a time before which plans move no keys.

--- a/assignment.go
+++ b/assignment.go
@@ -28,8 +28,8 @@
 	// Restored means that the tables come from such a copy: until the grants of all
 	// earlier leaders have expired, other upstreams may hold any keys.
 	Restored bool `json:",omitempty"`
-	// RevokeFence is above the fences of all terms before the one that set Restored, and
-	// below those of that term.
+	// RevokeFence is above all fences that leaders may have given before Restored was set,
+	// and below those given since.
 	RevokeFence uint64 `json:",omitempty"`
 }
 
@@ -72,7 +72,7 @@
 
 // RestoreFromCopy makes an assignment out of one that may be older than the newest:
 // what it says of holders counts only once all grants of earlier leaders have ended.
-// Its term must be the new one, and its Era the present one.
+// Its term must be that of the leader that writes it, and its Era the present one.
 func (a *Assignment) RestoreFromCopy() {
 	a.Restored = true
 	base := (a.WrittenIn() - firstEra) * epochsPerEra
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -227,6 +227,7 @@
 	listing          bool
 	verifyAt         time.Time
 	planAt           time.Time
+	movesAt          time.Time // plans move no keys before
 	repairAt         time.Time // when to write to a restored store next
 	writing          bool      // or reading what is stored, to write
 	moves            []string  // of the current plan, for the log
--- a/leader/lostterm.go
+++ b/leader/lostterm.go
@@ -11,7 +11,7 @@
 // doubtTerm lets the store show the term of this leader soon, since a grant was refused that
 // no grant or release of this leader can have overtaken.
 func (l *Leader) doubtTerm(now time.Time, c keeper.Call) {
-	l.term.fencedAt, l.term.planAt = now, now
+	l.term.fencedAt = now
 	if !l.elector.RecordFenced(now) {
 		return
 	}
@@ -37,10 +37,10 @@
 }
 
 // delayMoves lets no keys move before upstreams have had the time to refuse a renewal, if they
-// have seen the fence of a leader whose term the store has lost.
+// may have seen the fence of a leader whose term the store has lost.
 func (l *Leader) delayMoves(now time.Time) {
 	if l.lostTermMayAct(now) {
-		l.term.planAt = now.Add(l.KeeperTiming.Renew + l.KeeperTiming.AnswerTimeout)
+		l.term.movesAt = now.Add(l.KeeperTiming.Renew + l.KeeperTiming.AnswerTimeout)
 	}
 }
 
--- a/leader/plan.go
+++ b/leader/plan.go
@@ -69,7 +69,7 @@
 	changed = changed || !slices.EqualFunc(next.Members, l.assignment.Members, sameMember)
 	next.Pools = appointer.PreferenceLists(next.Pools, l.serviceSizes(), next.Members)
 	changed = changed || !slices.EqualFunc(next.Pools, l.assignment.Pools, samePool)
-	if !isCopy && t.upstreams.version > 0 && l.HasAuthority() && l.manifest() != nil {
+	if !isCopy && !now.Before(t.movesAt) && t.upstreams.version > 0 && l.HasAuthority() && l.manifest() != nil {
 		changed = l.planTables(now, in, &next) || changed
 	}
 	changed = l.clearFormerHolders(now, &next) || changed
